all: a thin whole path from client to target

A daemon around one reducer, its transports (targets over HTTP, peers over WebSocket with CBOR, the platform's table and host list over HTTP), stand-ins and a quickstart that runs all of it in one process.

--- /dev/null
+++ b/cmd/shallotrouter/main.go
@@ -0,0 +1,91 @@
+// Command shallotrouter is the daemon that runs on every entry host.
+//
+//	shallotrouter -config FILE.ini
+//
+// It exits with 0 after a graceful shutdown, 1 when it fails while running and
+// 2 when its settings are wrong. SIGTERM and SIGINT begin a graceful shutdown; a
+// second signal ends it at once.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shallotrouter/shallotrouter/internal/assembler"
+	"github.com/shallotrouter/shallotrouter/internal/loader"
+	"github.com/shallotrouter/shallotrouter/internal/logger"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func main() { os.Exit(start()) }
+
+// start reads the command line and the settings, then serves.
+func start() int {
+	path := flag.String("config", "", "the settings `file`")
+	version := flag.Bool("version", false, "print the version and exit")
+	check := flag.Bool("check", false, "check the settings and exit")
+	flag.Parse()
+	if *version {
+		fmt.Println("shallotrouter", buildVersion())
+		return 0
+	}
+	settings, err := loader.Load(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Println("settings are good")
+		return 0
+	}
+	return serve(settings)
+}
+
+// serve runs the daemon until it has shut down.
+func serve(settings *loader.Settings) int {
+	log := logger.New(os.Stderr, settings.Verbosity)
+	d := &assembler.Daemon{Settings: settings, Clock: clockwork.NewRealClock(), Log: log}
+	d.Init()
+	w := &watcher{daemon: d, signals: make(chan os.Signal, 2)}
+	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT)
+	go w.run()
+	if err := d.Run(context.Background()); err != nil {
+		log.Error(err, "daemon failed")
+		return exitFailed
+	}
+	return 0
+}
+
+// watcher turns signals into a shutdown.
+type watcher struct {
+	daemon  *assembler.Daemon
+	signals chan os.Signal
+}
+
+// run drains on the first signal and stops on the second.
+func (w *watcher) run() {
+	<-w.signals
+	w.daemon.Drain()
+	<-w.signals
+	w.daemon.Stop()
+}
+
+// buildVersion returns the module's version as the build noted it.
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/divider/divide.go
@@ -0,0 +1,174 @@
+// Package divider splits a zone's slots between clients and entry hosts. Every
+// host computes the same division from the same reports, so no host grants
+// anything to another.
+package divider
+
+import (
+	"math"
+	"slices"
+	"strings"
+)
+
+// Demand is what one client wants at one host.
+type Demand struct {
+	// Host and Client name the two.
+	Host   string
+	Client string
+	// Weight is the client's declared share, above zero.
+	Weight float64
+	// Tasks counts the client's running and waiting tasks at the host.
+	Tasks float64
+}
+
+// Share is the part of the slots that one client has at one host.
+type Share struct {
+	Host   string
+	Client string
+	// Slots is a number of slots, with a fraction.
+	Slots float64
+	// Satisfied tells that the client gets all that it wants.
+	Satisfied bool
+}
+
+// Division is the result of Divide.
+type Division struct {
+	// Shares are ordered by client, then host.
+	Shares []Share
+	// Spare is the number of slots that no demand needs.
+	Spare float64
+	// Level is the slots a unit of weight that a client with more demand than
+	// its share gets; with spare slots it is all slots.
+	Level float64
+}
+
+// Divide gives each client its weighted max-min share of slots, and splits it
+// between hosts in proportion to the client's demand there. It does not depend
+// on the order of demands and does not keep them; it sorts them in place.
+func Divide(slots float64, demands []Demand) Division {
+	slices.SortFunc(demands, func(a, b Demand) int {
+		if c := strings.Compare(a.Client, b.Client); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Host, b.Host)
+	})
+	totals := sum(demands)
+	left, level := fill(slots, totals)
+	shares := make([]Share, 0, len(demands))
+	for _, t := range totals {
+		for _, d := range demands[t.from:t.to] {
+			part := 0.0
+			if t.tasks > 0 {
+				part = t.given * d.Tasks / t.tasks
+			}
+			shares = append(shares, Share{Host: d.Host, Client: d.Client, Slots: part, Satisfied: t.given >= t.tasks})
+		}
+	}
+	return Division{Shares: shares, Spare: left, Level: level}
+}
+
+// total is one client's demand over all hosts.
+type total struct {
+	from, to int
+	weight   float64
+	tasks    float64
+	given    float64
+}
+
+func sum(demands []Demand) []total {
+	var totals []total
+	for i, d := range demands {
+		if i == 0 || demands[i-1].Client != d.Client {
+			totals = append(totals, total{from: i, weight: d.Weight})
+		}
+		t := &totals[len(totals)-1]
+		t.to = i + 1
+		t.tasks += d.Tasks
+		t.weight = max(t.weight, d.Weight)
+	}
+	return totals
+}
+
+// fill raises all clients' levels together until the slots or the demands are
+// used up, and returns the slots left over and the level.
+func fill(slots float64, totals []total) (left, level float64) {
+	level = max(slots, 1)
+	order := make([]*total, 0, len(totals))
+	weight := 0.0
+	for i := range totals {
+		if totals[i].tasks > 0 {
+			order = append(order, &totals[i])
+			weight += totals[i].weight
+		}
+	}
+	slices.SortStableFunc(order, func(a, b *total) int {
+		return compare(a.tasks/a.weight, b.tasks/b.weight)
+	})
+	for _, t := range order {
+		t.given = min(t.tasks, slots*t.weight/weight)
+		if t.given < t.tasks {
+			level = min(level, slots/weight)
+		}
+		slots -= t.given
+		weight -= t.weight
+	}
+	return max(slots, 0), level
+}
+
+func compare(a, b float64) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Quota is a whole number of slots for one host.
+type Quota struct {
+	Host  string
+	Slots int
+}
+
+// Round turns a division into whole quotas that add up to the slots, by largest
+// remainder. The spare slots go to the hosts in equal parts. Hosts must be
+// sorted and hold every host of the division.
+func Round(d Division, hosts []string) []Quota {
+	exact := make([]float64, len(hosts))
+	for i := range hosts {
+		exact[i] = d.Spare / float64(len(hosts))
+	}
+	for _, s := range d.Shares {
+		if i, ok := slices.BinarySearch(hosts, s.Host); ok {
+			exact[i] += s.Slots
+		}
+	}
+	return round(exact, hosts)
+}
+
+func round(exact []float64, hosts []string) []Quota {
+	quotas := make([]Quota, len(hosts))
+	order := make([]int, len(hosts))
+	whole := 0.0
+	given := 0
+	for i, e := range exact {
+		quotas[i] = Quota{Host: hosts[i], Slots: int(math.Floor(e + tolerance))}
+		order[i] = i
+		whole += e
+		given += quotas[i].Slots
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return compare(exact[b]-math.Floor(exact[b]+tolerance), exact[a]-math.Floor(exact[a]+tolerance))
+	})
+	for _, i := range order {
+		if given >= int(math.Floor(whole+tolerance)) {
+			break
+		}
+		quotas[i].Slots++
+		given++
+	}
+	return quotas
+}
+
+// tolerance absorbs the rounding errors of the division.
+const tolerance = 1e-6
--- /dev/null
+++ b/internal/loader/settings.go
@@ -0,0 +1,183 @@
+// Package loader reads the settings of a daemon.
+package loader
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/parser"
+	"github.com/shallotrouter/shallotrouter/internal/scheduler"
+)
+
+// Settings are what one daemon is told at its start. They do not change while
+// it runs.
+type Settings struct {
+	// Name is the host's name, unique in the deployment.
+	Name string
+	// Zone is the host's availability zone.
+	Zone string
+	// Listen is the address that the daemon opens.
+	Listen string
+	// Address is where clients and peers reach the host.
+	Address string
+	// Platform is the address of the platform's service, and Timeout bounds a
+	// request to it.
+	Platform string
+	Timeout  time.Duration
+	// Poll is the period of reads of the platform by a host alone in its zone,
+	// and PollSlowest bounds the period with peers.
+	Poll        time.Duration
+	PollSlowest time.Duration
+	// Secret is the key that all entry hosts share.
+	Secret []byte
+	// Peers are addresses of other entry hosts that are known from the start.
+	Peers []string
+	// Operator is the SHA-256 of the operators' bearer token.
+	Operator string
+	// Certificate, Key and Authority are PEM files; without them the daemon
+	// speaks plain HTTP.
+	Certificate string
+	Key         string
+	Authority   string
+	// Drain bounds a graceful shutdown.
+	Drain time.Duration
+	// Body bounds a submission in bytes, and Requests the open requests.
+	Body     int64
+	Requests int
+	// Result bounds a task's result in bytes.
+	Result int64
+	// Dial bounds the making of a connection to a target, and Unacked how long
+	// sent data may stay unacknowledged.
+	Dial    time.Duration
+	Unacked time.Duration
+	// Verbosity is the level of detail of the log, and Lines bounds the lines a
+	// second of each level.
+	Verbosity int
+	Lines     int
+	// Bounds are the limits of the scheduler.
+	Bounds scheduler.Bounds
+}
+
+// minSecret is the least length of the peer key in bytes.
+const minSecret = 16
+
+// Load reads a settings file. The error tells every fault of the file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, parser.Faults{{File: path, Problem: err.Error(), Remedy: "name a readable settings file with -config"}}
+	}
+	return Parse(path, string(text))
+}
+
+// Parse reads settings from INI text. The error is parser.Faults.
+func Parse(name, text string) (*Settings, error) {
+	doc := parser.Parse(name, text)
+	v := &Settings{Bounds: scheduler.Standard()}
+	v.host(doc)
+	v.platform(doc)
+	v.peers(doc)
+	v.security(doc)
+	v.limits(doc)
+	v.targets(doc)
+	v.log(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+func (v *Settings) host(doc *parser.Document) {
+	s := doc.Section("host")
+	defer s.Close()
+	v.Name = s.Need("name", "give the host a name that is unique in the deployment")
+	v.Zone = s.Need("zone", "name the host's availability zone")
+	v.Listen = s.Need("listen", "write the address to open, such as 127.0.0.1:7100")
+	v.Address = s.Text("address", v.Listen)
+	checkAddress(doc, "host", "listen", v.Listen)
+	checkAddress(doc, "host", "address", v.Address)
+	v.Drain = s.Duration("drain", 30*time.Second, 10*time.Millisecond, time.Hour)
+}
+
+func (v *Settings) platform(doc *parser.Document) {
+	s := doc.Section("platform")
+	defer s.Close()
+	v.Platform = s.Need("address", "write the address of the platform's service")
+	checkAddress(doc, "platform", "address", v.Platform)
+	v.Timeout = s.Duration("timeout", time.Second, 10*time.Millisecond, time.Minute)
+	v.Poll = s.Duration("poll", time.Second, 10*time.Millisecond, time.Minute)
+	v.PollSlowest = s.Duration("slowest", 2*time.Second, 10*time.Millisecond, time.Minute)
+}
+
+func (v *Settings) peers(doc *parser.Document) {
+	s := doc.Section("peers")
+	defer s.Close()
+	v.Secret = []byte(s.Need("key", "write the key that all entry hosts share"))
+	if len(v.Secret) > 0 && len(v.Secret) < minSecret {
+		doc.Fault("peers", "key", "too short", "write at least 16 bytes")
+	}
+	v.Peers = s.List("addresses")
+	for _, address := range v.Peers {
+		checkAddress(doc, "peers", "addresses", address)
+	}
+	v.Bounds.Quiet = s.Duration("quiet", v.Bounds.Quiet, 10*time.Millisecond, time.Minute)
+	v.Bounds.Calm = s.Duration("calm", v.Bounds.Calm, 10*time.Millisecond, time.Minute)
+	v.Bounds.Hurry = s.Duration("hurry", v.Bounds.Hurry, 10*time.Millisecond, time.Minute)
+	if v.Bounds.Quiet < 2*v.Bounds.Calm {
+		doc.Fault("peers", "quiet", "shorter than two calm periods", "raise quiet or lower calm")
+	}
+}
+
+func (v *Settings) security(doc *parser.Document) {
+	s := doc.Section("security")
+	defer s.Close()
+	v.Operator = s.Text("operator", "")
+	v.Certificate = s.Text("certificate", "")
+	v.Key = s.Text("key", "")
+	v.Authority = s.Text("authority", "")
+	if (v.Certificate == "") != (v.Key == "") {
+		doc.Fault("security", "certificate", "certificate and key go together", "set both files or neither")
+	}
+}
+
+func (v *Settings) limits(doc *parser.Document) {
+	s := doc.Section("limits")
+	defer s.Close()
+	b := &v.Bounds
+	v.Body = int64(s.Int("body", 4<<20, 1<<10, 64<<20))
+	v.Requests = s.Int("requests", 4096, 1, 1<<20)
+	b.Waiting = s.Int("waiting", b.Waiting, 1, 10_000_000)
+	b.Life = s.Duration("ticket", b.Life, time.Second, 24*time.Hour)
+	b.Keep = s.Duration("keep", b.Keep, time.Second, 24*time.Hour)
+	b.KeepBytes = s.Int("keepbytes", b.KeepBytes, 0, 1<<30)
+	b.KeepJobs = s.Int("keepjobs", b.KeepJobs, 1, 1_000_000)
+	b.Pause = s.Duration("pause", b.Pause, 10*b.Tick, time.Minute)
+}
+
+func (v *Settings) targets(doc *parser.Document) {
+	s := doc.Section("targets")
+	defer s.Close()
+	v.Dial = s.Duration("dial", 300*time.Millisecond, time.Millisecond, time.Minute)
+	v.Unacked = s.Duration("unacked", time.Second, 10*time.Millisecond, time.Minute)
+	v.Result = int64(s.Int("result", 1<<20, 1, 64<<20))
+	v.Bounds.Within = s.Duration("within", v.Bounds.Within, time.Millisecond, time.Minute)
+}
+
+func (v *Settings) log(doc *parser.Document) {
+	s := doc.Section("log")
+	defer s.Close()
+	v.Verbosity = s.Int("verbosity", 0, 0, 9)
+	v.Lines = s.Int("lines", 2000, 1, 1_000_000)
+}
+
+// checkAddress notes an address that is not an IP number and a port.
+func checkAddress(doc *parser.Document, section, key, address string) {
+	if address == "" {
+		return
+	}
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil || port == "" {
+		doc.Fault(section, key, "not an address", "write an IP number and a port, such as 127.0.0.1:7100")
+	}
+}
--- /dev/null
+++ b/internal/reporter/receiver.go
@@ -0,0 +1,84 @@
+package reporter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/coder/websocket"
+
+	"github.com/shallotrouter/shallotrouter"
+	"github.com/shallotrouter/shallotrouter/internal/declarer"
+	"github.com/shallotrouter/shallotrouter/internal/scheduler"
+)
+
+// ServeHTTP takes a peer's connection and hands on what it reports until it
+// ends. A host without the key gets status 401.
+func (r *Reporter) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	if !Allowed(r.Secret, request.Header.Get("Authorization")) {
+		http.Error(w, "the peer key is wrong; set the same key on all hosts", http.StatusUnauthorized)
+		return
+	}
+	w.Header().Set(headerZone, r.Self.Zone)
+	socket, err := websocket.Accept(w, request, nil)
+	if err != nil {
+		return
+	}
+	defer socket.CloseNow()
+	socket.SetReadLimit(maxMessage)
+	v := &receiver{reporter: r, socket: socket}
+	err = v.receive(request.Context())
+	if v.report.Host != "" {
+		r.leave(v.report.Address)
+	}
+	r.Log.V(1).Info("peer connection ended", "peer", v.report.Host, "error", errorText(err))
+}
+
+// receiver reads what one peer sends.
+type receiver struct {
+	reporter *Reporter
+	socket   *websocket.Conn
+	report   scheduler.Report
+}
+
+// receive reads messages until one cannot be read.
+func (v *receiver) receive(ctx context.Context) error {
+	for {
+		_, data, err := v.socket.Read(ctx)
+		if err != nil {
+			return err
+		}
+		m, err := Decode(data)
+		if err != nil {
+			return err
+		}
+		if err := v.take(m); err != nil {
+			return err
+		}
+	}
+}
+
+// take hands on one message.
+func (v *receiver) take(m Message) error {
+	r := v.reporter
+	switch {
+	case m.Hello != nil && v.report.Host == "":
+		h := m.Hello
+		r.enter(h.Address)
+		v.report = scheduler.Report{Host: h.Host, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation}
+	case m.Hello != nil || v.report.Host == "":
+		return shallotrouter.Errorf(shallotrouter.Malformed, "a peer did not say hello first and once; run the same version on all hosts")
+	case m.Delta != nil:
+		v.report = Apply(v.report, *m.Delta)
+		r.learn(v.report.Address, peerVersions{v.report.Config, v.report.Directory})
+		r.Sink.Put(scheduler.Hear{Report: v.report})
+	case m.Row != nil:
+		config, err := declarer.Decode(m.Row.Version, m.Row.Value)
+		if err != nil {
+			return err
+		}
+		r.Sink.Put(scheduler.Adopt{Config: config})
+	case m.Directory != nil:
+		r.Sink.Put(scheduler.Locate{Directory: *m.Directory})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scheduler/target.go
@@ -0,0 +1,243 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/looplab/fsm"
+
+	"github.com/shallotrouter/shallotrouter/internal/transitioner"
+)
+
+// target is one back end as this host sees it.
+type target struct {
+	name      string
+	address   string
+	pool      *pool
+	machine   *fsm.FSM
+	listed    bool      // the directory says that it is leaving
+	told      time.Time // its own word that it is leaving holds until then
+	warned    bool      // a peer says first-hand that it is leaving
+	slots     int
+	own       int // this host's tasks in flight
+	others    int // the peers' tasks in flight, as last reported
+	busyUntil time.Time
+	busy      int // refusals in a row
+	flights   []*flight
+
+	failures   int // failed jobs in a row
+	lastFailed uint64
+	unsent     int     // failures to reach it in a row
+	ratio      float64 // run time over the expected one, smoothed
+	samples    int
+	retryAt    time.Time
+	interval   time.Duration
+	ejector    string // the least name among the peers that eject it
+	followed   bool   // a peer with a lesser name ejected it, and decides
+}
+
+// flight is one task that is running at a target.
+type flight struct {
+	job   *job
+	index int
+	sent  time.Time
+	tail  time.Duration // run time that few tasks of its kind exceed
+}
+
+const (
+	// failureStreak is the number of different jobs that must fail in a row
+	// before a target is ejected.
+	failureStreak = 3
+	// unsentStreak is the number of failed connections in a row that eject.
+	unsentStreak = 2
+	// slowRatio is the smoothed slowness from which a target is ejected.
+	slowRatio = 3
+	// ratioCap bounds what one run time adds to the smoothed slowness.
+	ratioCap = 6
+	// ratioGain is the weight of one run time in the smoothed slowness.
+	ratioGain = 0.2
+	// slowSamples is the least number of run times before slowness counts.
+	slowSamples = 4
+	// lateFlights is the number of overdue tasks in flight that eject.
+	lateFlights = 2
+	// lateFactor is how far past its kind's tail a task is overdue.
+	lateFactor = 1.5
+	// firstTrial and lastTrial bound the growing interval between trials.
+	firstTrial = 5 * time.Second
+	lastTrial  = 5 * time.Minute
+	// unsentTrial is the first interval for a target that cannot be reached,
+	// whose trial costs no job.
+	unsentTrial = time.Second
+	// ejectedPart bounds the part of a pool's targets that may be ejected.
+	ejectedPart = 1.0 / 3
+	// leaveMemory is how long a target's own word that it is leaving holds.
+	leaveMemory = 30 * time.Second
+	// firstBusy and lastBusy bound the growing wait after a busy answer.
+	firstBusy = 10 * time.Millisecond
+	lastBusy  = 320 * time.Millisecond
+)
+
+func newTarget(name string, p *pool) *target {
+	return &target{
+		name: name, pool: p, slots: p.service.Slots, ratio: 1,
+		machine: transitioner.Build(Live, targetRules...),
+	}
+}
+
+func (t *target) state() State { return State(t.machine.Current()) }
+
+// usable reports whether the target may take a new task.
+func (t *target) usable(now time.Time) bool {
+	switch t.state() {
+	case Live:
+		return t.ejector == "" && !now.Before(t.busyUntil)
+	case Trial:
+		return t.own == 0
+	case Departing, Ejected:
+	}
+	return false
+}
+
+// counted reports whether the target's slots are shared out.
+func (t *target) counted() bool { return t.state() == Live && t.ejector == "" }
+
+// free returns the slots that appear to be free.
+func (t *target) free() int { return t.slots - t.own - t.others }
+
+// shift moves the target to another state and logs it.
+func (s *Scheduler) shift(t *target, event targetEvent, reason string) {
+	if !t.machine.Can(string(event)) {
+		return
+	}
+	if err := t.machine.Event(context.Background(), string(event)); err != nil {
+		s.violate("target life cycle", "%s of %s: %v", event, t.name, err)
+		return
+	}
+	s.urgent = true
+	s.emit(Decide{Action: Mark, Target: t.name, Outcome: "", Reason: string(event) + " " + reason})
+}
+
+// settle moves a target into or out of Departing by all that was told of it.
+func (s *Scheduler) settle(t *target) {
+	leaving := t.listed || t.warned || s.now.Before(t.told) || s.config.Targets.Has(t.name)
+	if leaving && t.state() != Departing {
+		s.shift(t, targetLeave, "told to leave")
+		s.emit(Retire{Target: t.name})
+	}
+	if !leaving && t.state() == Departing {
+		s.shift(t, targetReturn, "listed as live")
+	}
+}
+
+// succeed records a task that the target ran.
+func (s *Scheduler) succeed(t *target, ratio float64) {
+	t.failures, t.unsent, t.busy = 0, 0, 0
+	t.busyUntil = time.Time{}
+	t.samples++
+	t.ratio += (min(ratio, ratioCap) - t.ratio) * ratioGain
+	switch {
+	case t.state() == Trial && ratio < slowRatio:
+		s.restore(t, "passed its trial")
+	case t.state() == Trial:
+		s.eject(t, "slow in its trial", firstTrial)
+	case t.samples >= slowSamples && t.ratio >= slowRatio:
+		s.eject(t, "slow", firstTrial)
+	}
+}
+
+// restore makes an ejected target live again.
+func (s *Scheduler) restore(t *target, reason string) {
+	t.ratio, t.samples, t.failures, t.unsent = 1, 0, 0, 0
+	t.interval = 0
+	s.shift(t, targetPass, reason)
+}
+
+// blame records a job that failed on the target. A client whose jobs fail
+// everywhere says nothing about the target.
+func (s *Scheduler) blame(t *target, j *job) {
+	if t.lastFailed == j.number && t.state() != Trial {
+		return
+	}
+	t.lastFailed = j.number
+	t.failures++
+	s.blames(j).fail(t.name)
+	if s.blames(j).hopeless() {
+		return
+	}
+	if t.state() == Trial || t.failures >= failureStreak {
+		s.eject(t, "fails what it starts", firstTrial)
+	}
+}
+
+// unreached records that no connection to the target was made.
+func (s *Scheduler) unreached(t *target) {
+	t.unsent++
+	if t.state() == Trial || t.unsent >= unsentStreak {
+		s.eject(t, "cannot be reached", unsentTrial)
+	}
+}
+
+// eject takes the target out of use until a trial, unless too many are out.
+func (s *Scheduler) eject(t *target, reason string, first time.Duration) {
+	if t.state() != Live && t.state() != Trial {
+		return
+	}
+	if t.state() == Live && !t.pool.mayEject() {
+		return
+	}
+	t.interval = min(max(2*t.interval, first), lastTrial)
+	t.retryAt = s.now.Add(t.interval)
+	s.shift(t, targetEject, reason)
+	s.emit(Retire{Target: t.name})
+}
+
+// mayEject reports whether one more target may be ejected.
+func (p *pool) mayEject() bool {
+	out := 1
+	for _, t := range p.targets {
+		if t.state() == Ejected || t.state() == Trial || t.ejector != "" {
+			out++
+		}
+	}
+	return float64(out) <= max(1, ejectedPart*float64(len(p.targets)))
+}
+
+// review looks at one target's overdue tasks and trial time.
+func (s *Scheduler) review(t *target) {
+	s.settle(t)
+	if t.state() == Ejected && !s.now.Before(t.retryAt) {
+		s.retry(t)
+	}
+	late := 0
+	for _, f := range t.flights {
+		if f.tail > 0 && s.now.Sub(f.sent) > time.Duration(lateFactor*float64(f.tail)) {
+			late++
+		}
+	}
+	if late >= lateFlights && 2*late >= len(t.flights) {
+		s.eject(t, "overdue", firstTrial)
+	}
+}
+
+// retry starts a trial. Of all hosts that eject a target only the one with the
+// least name tries it; the others follow that host's verdict.
+func (s *Scheduler) retry(t *target) {
+	if t.ejector != "" && t.ejector < s.Host {
+		t.retryAt = s.now.Add(t.interval)
+		return
+	}
+	s.shift(t, targetTry, "trial is due")
+}
+
+// land takes a finished task out of the target's flights.
+func (t *target) land(j *job, index int) {
+	for i, f := range t.flights {
+		if f.job == j && f.index == index {
+			last := len(t.flights) - 1
+			t.flights[i] = t.flights[last]
+			t.flights[last] = nil
+			t.flights = t.flights[:last]
+			return
+		}
+	}
+}
