all: tests with processes of their own; a busy target is not asked again at once

The quickstart's first runs had 1 failed job in 4 of 13 runs. Cause: two hosts that start together both see a zone of free slots; the targets refuse the second host's tasks, and 12 attempts within 40 ms used up the task's bound. Ruled out: lost answers (each failure said that no target took the task). A busy answer now proves the peers' use of that target for 50 to 400 ms, the first job beyond the quota publishes a report, and a used-up retry budget pauses the pool instead of failing the job.

TestWhole sends 200 jobs over 3 daemon processes.

--- a/cmd/shallotrouter/main.go
+++ b/cmd/shallotrouter/main.go
@@ -11,6 +11,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -49,13 +50,14 @@
 		fmt.Println("settings are good")
 		return 0
 	}
-	return serve(settings)
+	return serve(settings, nil)
 }
 
-// serve runs the daemon until it has shut down.
-func serve(settings *loader.Settings) int {
+// serve runs the daemon until it has shut down. A nil listener opens the address
+// of the settings.
+func serve(settings *loader.Settings, listener net.Listener) int {
 	log := logger.New(os.Stderr, settings.Verbosity)
-	d := &assembler.Daemon{Settings: settings, Clock: clockwork.NewRealClock(), Log: log}
+	d := &assembler.Daemon{Settings: settings, Clock: clockwork.NewRealClock(), Log: log, Listener: listener}
 	d.Init()
 	w := &watcher{daemon: d, signals: make(chan os.Signal, 2)}
 	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/cmd/shallotrouter/process_test.go
@@ -0,0 +1,296 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/shallotrouter/shallotrouter"
+	"github.com/shallotrouter/shallotrouter/internal/declarer"
+	"github.com/shallotrouter/shallotrouter/internal/faker"
+	"github.com/shallotrouter/shallotrouter/internal/loader"
+	"github.com/shallotrouter/shallotrouter/internal/scheduler"
+	"github.com/shallotrouter/shallotrouter/internal/storer"
+)
+
+// The test binary runs again as each process of a deployment; these variables
+// say as which. Its listener is file 3.
+const (
+	roleVariable     = "SHALLOTROUTER_TEST_ROLE"
+	settingsVariable = "SHALLOTROUTER_TEST_SETTINGS"
+	listenerFile     = 3
+	slots            = 8
+	service          = "despacho"
+	operatorToken    = "operator-token"
+)
+
+func TestMain(m *testing.M) {
+	switch role := os.Getenv(roleVariable); role {
+	case "":
+		os.Exit(m.Run())
+	case "daemon":
+		settings, err := loader.Parse("test", os.Getenv(settingsVariable))
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitUsage)
+		}
+		os.Exit(serve(settings, inherited()))
+	case "platform":
+		_ = http.Serve(inherited(), (&faker.Platform{}).Handler())
+	case "target":
+		_ = http.Serve(inherited(), (&faker.Target{Slots: slots}).Handler())
+	}
+}
+
+// inherited returns the listener that the parent opened.
+func inherited() net.Listener {
+	listener, err := net.FileListener(os.NewFile(listenerFile, "listener"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+	return listener
+}
+
+// process is one process of a deployment.
+type process struct {
+	name    string
+	zone    string
+	address string
+	command *exec.Cmd
+	log     *safeBuffer
+	ended   chan struct{}
+}
+
+// safeBuffer collects output while it is read.
+type safeBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *safeBuffer) Write(data []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *safeBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+// deployment is a platform, targets and daemons in processes of their own.
+type deployment struct {
+	t        *testing.T
+	platform *process
+	targets  []*process
+	daemons  []*process
+	extra    string // more settings of the daemons
+}
+
+// deploy starts a platform, and in each zone so many targets and daemons.
+func deploy(t *testing.T, extra string, targets, daemons int, zones ...string) *deployment {
+	d := &deployment{t: t, extra: extra}
+	d.platform = d.spawn("platform", "platform", "", "")
+	text := fmt.Sprintf("[service %s]\nslots = %d\n", service, slots)
+	for _, name := range []string{"comites", "cruzroja", "puertos"} {
+		text += fmt.Sprintf("[client %s]\ntoken = sha256:%s\n", name, declarer.HashToken(name+"-token"))
+	}
+	value, err := declarer.Row{Text: text, Preset: declarer.Ordinary}.Encode()
+	require.NoError(t, err)
+	_, err = storer.NewClient(d.platform.address, 5*time.Second).Swap(t.Context(), storer.Row, 0, value)
+	require.NoError(t, err)
+	for _, zone := range zones {
+		for i := range targets {
+			d.targets = append(d.targets, d.spawn("target", fmt.Sprintf("%s-t%d", zone, i), zone, ""))
+		}
+		d.list(zone)
+		for i := range daemons {
+			d.daemon(fmt.Sprintf("%s-h%d", zone, i), zone)
+		}
+	}
+	for _, p := range d.daemons {
+		d.await(func() bool { return d.status(p).Phase == scheduler.Serving && len(d.status(p).Peers) == daemons-1 })
+	}
+	return d
+}
+
+// daemon starts one more daemon, which knows the earlier ones.
+func (d *deployment) daemon(name, zone string) *process {
+	var seeds []string
+	for _, p := range d.daemons {
+		seeds = append(seeds, p.address)
+	}
+	settings := fmt.Sprintf(`[host]
+name = %s
+zone = %s
+listen = ADDRESS
+[platform]
+address = %s
+[peers]
+key = a key that all hosts of the test share
+addresses = %s
+[security]
+operator = %s
+%s`, name, zone, d.platform.address, strings.Join(seeds, ", "), declarer.HashToken(operatorToken), d.extra)
+	p := d.spawn("daemon", name, zone, settings)
+	d.daemons = append(d.daemons, p)
+	return p
+}
+
+// spawn starts the test binary in a role, on a listener that is open already.
+func (d *deployment) spawn(role, name, zone, settings string) *process {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	file, err := listener.(*net.TCPListener).File()
+	require.NoError(d.t, err)
+	p := &process{name: name, zone: zone, address: listener.Addr().String(), log: &safeBuffer{}, ended: make(chan struct{})}
+	p.command = exec.Command(os.Args[0])
+	p.command.Env = append(os.Environ(), roleVariable+"="+role, settingsVariable+"="+strings.ReplaceAll(settings, "ADDRESS", p.address))
+	p.command.ExtraFiles = []*os.File{file}
+	p.command.Stderr = p.log
+	require.NoError(d.t, p.command.Start())
+	require.NoError(d.t, listener.Close())
+	require.NoError(d.t, file.Close())
+	go p.run()
+	d.t.Cleanup(p.kill)
+	return p
+}
+
+// run waits for the end of the process.
+func (p *process) run() {
+	_ = p.command.Wait()
+	close(p.ended)
+}
+
+// kill ends the process at once and waits for its end.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	require.NoError(t, p.command.Process.Signal(s))
+}
+
+// list writes a zone's host list, with the named targets as leaving.
+func (d *deployment) list(zone string, leaving ...string) {
+	directory := scheduler.Directory{Zone: zone}
+	for _, p := range d.targets {
+		if p.zone == zone {
+			h := scheduler.Host{Name: p.name, Role: scheduler.Target, Address: p.address, Service: service}
+			for _, name := range leaving {
+				h.Leaving = h.Leaving || name == p.name
+			}
+			directory.Hosts = append(directory.Hosts, h)
+		}
+	}
+	d.put(d.platform, "/hosts", directory)
+}
+
+// put sends a JSON value to a stand-in.
+func (d *deployment) put(p *process, path string, v any) {
+	body, err := json.Marshal(v)
+	require.NoError(d.t, err)
+	request, err := http.NewRequest(http.MethodPut, "http://"+p.address+path, bytes.NewReader(body))
+	require.NoError(d.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(d.t, err)
+	require.NoError(d.t, response.Body.Close())
+	require.Equal(d.t, http.StatusOK, response.StatusCode)
+}
+
+// status asks a daemon for its state; it is empty while the daemon is not there.
+func (d *deployment) status(p *process) scheduler.Status {
+	var v scheduler.Status
+	ctx, cancel := context.WithTimeout(d.t.Context(), time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+"/v1/status", nil)
+	require.NoError(d.t, err)
+	request.Header.Set("Authorization", "Bearer "+operatorToken)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return v
+	}
+	defer response.Body.Close()
+	_ = json.NewDecoder(response.Body).Decode(&v)
+	return v
+}
+
+// await fails the test unless the condition comes to hold.
+func (d *deployment) await(holds func() bool) {
+	d.t.Helper()
+	require.Eventually(d.t, holds, 20*time.Second, 20*time.Millisecond)
+}
+
+// counts sums up what the targets have seen.
+func (d *deployment) counts() faker.Counts {
+	total := faker.Counts{Starts: make(map[string]int)}
+	for _, p := range d.targets {
+		c := d.countsOf(p)
+		for name, n := range c.Starts {
+			total.Starts[name] += n
+		}
+		total.Most = max(total.Most, c.Most)
+	}
+	return total
+}
+
+func (d *deployment) countsOf(p *process) faker.Counts {
+	var c faker.Counts
+	response, err := http.Get("http://" + p.address + "/counts")
+	if err != nil {
+		return c
+	}
+	defer response.Body.Close()
+	require.NoError(d.t, json.NewDecoder(response.Body).Decode(&c))
+	return c
+}
+
+// requireOnce fails the test if any task was started twice.
+func (d *deployment) requireOnce() {
+	d.t.Helper()
+	for name, n := range d.counts().Starts {
+		require.Equal(d.t, 1, n, "starts of task %s", name)
+	}
+	for _, p := range d.daemons {
+		require.NotContains(d.t, p.log.String(), "invariant broken")
+	}
+}
+
+func (d *deployment) client(p *process, name string) *shallotrouter.Client {
+	return &shallotrouter.Client{Address: "http://" + p.address, Token: name + "-token"}
+}
+
+// ticket takes one ticket.
+func (d *deployment) ticket(p *process, name string) string {
+	grant, err := d.client(p, name).Tickets(d.t.Context(), 1)
+	require.NoError(d.t, err)
+	return grant.Tickets[0]
+}
+
+// newJob returns a job whose tasks run for the given times and echo the label.
+func newJob(ticket, label string, deadline time.Duration, runs ...time.Duration) shallotrouter.Job {
+	job := shallotrouter.Job{Ticket: ticket, Service: service, Deadline: shallotrouter.Duration(deadline)}
+	for i, run := range runs {
+		payload, err := json.Marshal(faker.Work{Run: run, Echo: fmt.Sprintf("%s-%d", label, i)})
+		if err != nil {
+			panic(err)
+		}
+		job.Tasks = append(job.Tasks, shallotrouter.Task{Kind: "allocation", Payload: payload, Expect: shallotrouter.Duration(run)})
+	}
+	return job
+}
--- /dev/null
+++ b/cmd/shallotrouter/whole_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shallotrouter/shallotrouter"
+)
+
+// submission is one job on its way through a deployment.
+type submission struct {
+	caller *shallotrouter.Client
+	job    shallotrouter.Job
+	label  string
+	answer shallotrouter.Answer
+	err    error
+}
+
+// run submits the job and waits for its answer.
+func (s *submission) run(ctx context.Context, group *sync.WaitGroup) {
+	defer group.Done()
+	s.answer, s.err = s.caller.Submit(ctx, s.job)
+}
+
+// submitAll runs all submissions together and waits for them.
+func submitAll(ctx context.Context, list []*submission) {
+	var group sync.WaitGroup
+	for _, s := range list {
+		group.Add(1)
+		go s.run(ctx, &group)
+	}
+	group.Wait()
+}
+
+// TestWhole submits 200 jobs over three daemons in processes of their own. Run
+// times are random, so answers come late and out of order.
+func TestWhole(t *testing.T) {
+	d := deploy(t, "", 3, 3, "bogota-norte")
+	random := rand.New(rand.NewPCG(1, 2))
+	clients := []string{"comites", "cruzroja", "puertos"}
+	var list []*submission
+	total := 0
+	for i := range 200 {
+		name := clients[i%len(clients)]
+		giver, taker := d.daemons[i%3], d.daemons[random.IntN(3)]
+		var runs []time.Duration
+		for range 1 + random.IntN(8) {
+			runs = append(runs, time.Duration(random.IntN(60))*time.Millisecond)
+		}
+		total += len(runs)
+		label := fmt.Sprint("job", i)
+		list = append(list, &submission{
+			caller: d.client(taker, name), label: label,
+			job: newJob(d.ticket(giver, name), label, time.Minute, runs...),
+		})
+	}
+	submitAll(t.Context(), list)
+	for _, s := range list {
+		require.NoError(t, s.err)
+		require.Equal(t, shallotrouter.Complete, s.answer.Outcome, s.answer.Message)
+		require.Len(t, s.answer.Results, len(s.job.Tasks))
+		for i, result := range s.answer.Results {
+			require.Equal(t, fmt.Sprintf("%s-%d", s.label, i), string(result))
+		}
+	}
+	require.Len(t, d.counts().Starts, total)
+	require.LessOrEqual(t, d.counts().Most, slots)
+	d.requireOnce()
+}
+
+// ticketLife is how long tickets are good in TestRefusals.
+const ticketLife = time.Second
+
+// TestRefusals sends submissions that must be refused, and requires a clear
+// answer to each and no start.
+func TestRefusals(t *testing.T) {
+	d := deploy(t, "[limits]\nbody = 20000\nticket = "+ticketLife.String()+"\n", 1, 1, "bogota-norte")
+	host := d.daemons[0]
+	good := newJob(d.ticket(host, "comites"), "x", time.Second, time.Millisecond)
+	change := func(f func(*shallotrouter.Job)) shallotrouter.Job {
+		job := good
+		f(&job)
+		return job
+	}
+	cases := []struct {
+		name   string
+		token  string
+		job    shallotrouter.Job
+		reason shallotrouter.Reason
+	}{
+		{"unauthenticated", "nobody", good, shallotrouter.Unauthorized},
+		{"other client's ticket", "cruzroja-token", good, shallotrouter.Unauthorized},
+		{"unknown service", "comites-token", change(func(j *shallotrouter.Job) { j.Service = "none" }), shallotrouter.Unknown},
+		{"no tasks", "comites-token", change(func(j *shallotrouter.Job) { j.Tasks = nil }), shallotrouter.Malformed},
+		{"no deadline", "comites-token", change(func(j *shallotrouter.Job) { j.Deadline = 0 }), shallotrouter.Malformed},
+		{"no kind", "comites-token", change(func(j *shallotrouter.Job) { j.Tasks = []shallotrouter.Task{{}} }), shallotrouter.Malformed},
+		{"forged ticket", "comites-token", change(func(j *shallotrouter.Job) { j.Ticket = strings.Repeat("A", 80) }), shallotrouter.Malformed},
+		{"no ticket", "comites-token", change(func(j *shallotrouter.Job) { j.Ticket = "" }), shallotrouter.Malformed},
+		{"too many tasks", "comites-token", change(func(j *shallotrouter.Job) { j.Tasks = make([]shallotrouter.Task, 461) }), shallotrouter.Oversized},
+		{"too large", "comites-token", change(func(j *shallotrouter.Job) {
+			j.Tasks = []shallotrouter.Task{{Kind: "k", Payload: make([]byte, 30000)}}
+		}), shallotrouter.Oversized},
+	}
+	for _, c := range cases {
+		a, err := (&shallotrouter.Client{Address: "http://" + host.address, Token: c.token}).Submit(t.Context(), c.job)
+		require.NoError(t, err, c.name)
+		assert.Equal(t, shallotrouter.Refused, a.Outcome, c.name)
+		assert.Equal(t, c.reason, a.Reason, c.name+": "+a.Message)
+		assert.NotEmpty(t, a.Message, c.name)
+	}
+	<-time.After(ticketLife + ticketLife/8) // the ticket's life, and its grain
+	a, err := d.client(host, "comites").Submit(t.Context(), good)
+	require.NoError(t, err)
+	assert.Equal(t, shallotrouter.Refused, a.Outcome)
+	assert.Equal(t, shallotrouter.Expired, a.Reason)
+	response, err := http.Post("http://"+host.address+"/v1/jobs", "application/json", strings.NewReader("{"))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
+	assert.Empty(t, d.counts().Starts)
+}
--- a/examples/quickstart/main.go
+++ b/examples/quickstart/main.go
@@ -95,13 +95,13 @@
 // table writes one line a job, and returns the first error.
 func table(out *os.File, runs []*run) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "CLIENT\tHOST\tOUTCOME\tRESULTS\tTIME\tSLOWDOWN")
+	fmt.Fprintln(w, "CLIENT\tHOST\tOUTCOME\tRESULTS\tTIME\tSLOWDOWN\tREASON")
 	for _, r := range runs {
 		if r.err != nil {
 			return r.err
 		}
 		slowdown := r.elapsed.Seconds() / r.longest.Seconds()
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%.2f\n", r.client, r.host, r.answer.Outcome, len(r.answer.Results), r.elapsed.Round(time.Millisecond), slowdown)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%.2f\t%s\n", r.client, r.host, r.answer.Outcome, len(r.answer.Results), r.elapsed.Round(time.Millisecond), slowdown, r.answer.Message)
 	}
 	return w.Flush()
 }
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -70,10 +70,15 @@
 	s.dispatch(p)
 }
 
-// reshare divides the pool anew when the host wants more than its quota.
+// reshare divides the pool anew when the host wants more than its quota, and
+// tells the peers soon.
 func (s *Scheduler) reshare(p *pool) {
-	if p.running+p.waitingTasks() > p.quota && s.now.Sub(p.shared) >= shareEvery {
-		s.share(p)
+	if p.running+p.waitingTasks() <= p.quota || s.now.Sub(p.shared) < shareEvery {
+		return
+	}
+	s.share(p)
+	if s.now.Sub(s.published) >= s.Bounds.Hurry {
+		s.publish()
 	}
 }
 
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -40,8 +40,7 @@
 func (s *Scheduler) declined(t *target, result Result) {
 	switch result {
 	case Busy, Late:
-		t.busyUntil = s.now.Add(min(firstBusy<<min(t.busy, 5), lastBusy))
-		t.busy++
+		t.refuse(s.now)
 	case Leaving:
 		t.told = s.now.Add(leaveMemory)
 		s.settle(t)
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -40,7 +40,8 @@
 	shared    time.Time // when quota was computed
 	blocked   bool      // work waits because the quota is used up
 	estimates estimator.Estimator
-	tokens    float64 // retry budget
+	tokens    float64   // retry budget
+	paused    time.Time // nothing is placed before, the budget being used up
 }
 
 func newPool(service declarer.Service) *pool {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -11,15 +11,19 @@
 	retryBurst = 200
 	// retryPart is the part of all starts that may be retries.
 	retryPart = 0.1
+	// retryPause is how long a pool places nothing once its budget is used up,
+	// and retryBatch is the budget that it then gets.
+	retryPause = 100 * time.Millisecond
+	retryBatch = 10
 	// maxAttempts bounds the sends of one task, all but one proven not started.
-	maxAttempts = 12
+	maxAttempts = 100
 	// retryAfter is the time to come back when the retries are used up.
 	retryAfter = time.Second
 )
 
 // dispatch starts waiting tasks while this host has slots for them.
 func (s *Scheduler) dispatch(p *pool) {
-	if s.Phase() != Serving && s.Phase() != Draining {
+	if s.Phase() != Serving && s.Phase() != Draining || s.now.Before(p.paused) {
 		return
 	}
 	p.blocked = false
@@ -95,13 +99,13 @@
 	var best *target
 	for i := range p.targets {
 		t := p.targets[(i+s.offset)%len(p.targets)]
-		if !t.usable(s.now) {
+		if !t.usable() {
 			continue
 		}
 		if t.state() == Trial {
 			return t
 		}
-		if t.free() <= 0 {
+		if t.free(s.now) <= 0 {
 			continue
 		}
 		if best == nil || t.load() < best.load() {
@@ -202,9 +206,11 @@
 	if j.begun == 0 {
 		j.state, _ = jobMachine.Next(j.state, jobRevert)
 	}
-	p.tokens--
-	if p.tokens < 0 || k.attempts >= maxAttempts {
-		p.tokens = max(p.tokens, 0)
+	if p.tokens--; p.tokens < 0 {
+		p.tokens += retryBatch
+		p.paused = s.now.Add(retryPause)
+	}
+	if k.attempts >= maxAttempts {
 		s.abandon(j, shallotrouter.Overload, "no target took the task; come back after the time given", retryAfter)
 		return
 	}
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -21,8 +21,9 @@
 	slots     int
 	own       int // this host's tasks in flight
 	others    int // the peers' tasks in flight, as last reported
-	busyUntil time.Time
 	busy      int // refusals in a row
+	full      int // the peers' tasks that the last refusal proves
+	fullUntil time.Time
 	flights   []*flight
 
 	failures   int // failed jobs in a row
@@ -72,9 +73,10 @@
 	ejectedPart = 1.0 / 3
 	// leaveMemory is how long a target's own word that it is leaving holds.
 	leaveMemory = 30 * time.Second
-	// firstBusy and lastBusy bound the growing wait after a busy answer.
-	firstBusy = 10 * time.Millisecond
-	lastBusy  = 320 * time.Millisecond
+	// firstFull and lastFull bound the growing time for which a busy answer
+	// proves that the peers hold the target's other slots.
+	firstFull = 50 * time.Millisecond
+	lastFull  = 400 * time.Millisecond
 )
 
 func newTarget(name string, p *pool) *target {
@@ -87,10 +89,10 @@
 func (t *target) state() State { return State(t.machine.Current()) }
 
 // usable reports whether the target may take a new task.
-func (t *target) usable(now time.Time) bool {
+func (t *target) usable() bool {
 	switch t.state() {
 	case Live:
-		return t.ejector == "" && !now.Before(t.busyUntil)
+		return t.ejector == ""
 	case Trial:
 		return t.own == 0
 	case Departing, Ejected:
@@ -101,8 +103,22 @@
 // counted reports whether the target's slots are shared out.
 func (t *target) counted() bool { return t.state() == Live && t.ejector == "" }
 
-// free returns the slots that appear to be free.
-func (t *target) free() int { return t.slots - t.own - t.others }
+// free returns the slots that appear to be free: what the peers report in use
+// counts, and what a busy answer has proved.
+func (t *target) free(now time.Time) int {
+	others := t.others
+	if now.Before(t.fullUntil) {
+		others = max(others, t.full)
+	}
+	return t.slots - t.own - others
+}
+
+// refuse records a busy answer.
+func (t *target) refuse(now time.Time) {
+	t.full = t.slots - t.own
+	t.fullUntil = now.Add(min(firstFull<<min(t.busy, 3), lastFull))
+	t.busy++
+}
 
 // shift moves the target to another state and logs it.
 func (s *Scheduler) shift(t *target, event targetEvent, reason string) {
@@ -132,7 +148,6 @@
 // succeed records a task that the target ran.
 func (s *Scheduler) succeed(t *target, ratio float64) {
 	t.failures, t.unsent, t.busy = 0, 0, 0
-	t.busyUntil = time.Time{}
 	t.samples++
 	t.ratio += (min(ratio, ratioCap) - t.ratio) * ratioGain
 	switch {
