--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -214,3 +214,6 @@
 
 // Open returns the number of jobs without a final answer.
 func (s *Scheduler) Open() int { return s.open }
+
+// Waiting returns the number of tasks that wait for a slot.
+func (s *Scheduler) Waiting() int { return s.waiting }
