scheduler: each host holds a range of the slots, from published reports

Cause of the 17 % busy answers: every host chose among slots that looked free in reports up to 500 ms old, while a backlogged peer refilled them within a millisecond. Ruled out: the retry pause (busy came first) and the number of hosts' reports (a period of 100 ms under load gave the same). Now all hosts divide the same published figures and lay the quotas out as ranges of numbered slots; a host without waiting work keeps a reserve of 2 % of the zone.

--- a/examples/policies/main.go
+++ b/examples/policies/main.go
@@ -14,6 +14,8 @@
 
 func main() {
 	length := flag.Duration("length", time.Minute, "the virtual time to measure")
+	only := flag.String("place", "", "measure only this place")
+	policy := flag.String("policy", "", "measure only this policy")
 	seed := flag.Uint64("seed", 1, "the seed of all chance")
 	flag.Parse()
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -24,6 +26,9 @@
 		clients int
 	}{{"restrepo", bencher.Restrepo(), 4}, {"kutchwala", bencher.Kutchwala(), 10}} {
 		for _, v := range bencher.Variants() {
+			if *only != "" && *only != place.name || *policy != "" && *policy != v.Name {
+				continue
+			}
 			p := place.place
 			v.Change(&p)
 			m := &measure{table: w, place: place.name, policy: v.Name}
--- a/internal/declarer/declarations.go
+++ b/internal/declarer/declarations.go
@@ -82,9 +82,9 @@
 	Admit bool
 	// Queue bounds the waiting tasks of one client at one entry host.
 	Queue int
-	// Eager is the part of the zone's apparently idle slots that a host uses
-	// beyond its own share, from 0 to 1.
-	Eager float64
+	// Reserve is the part of the zone's slots that each host without waiting
+	// work keeps for jobs to come, from 0 to 0.2.
+	Reserve float64
 	// Hold is the part of the zone's slots that one client's long tasks may
 	// hold, from 0 to 1.
 	Hold float64
@@ -122,12 +122,12 @@
 // standard returns the built-in values of a preset.
 func standard(name Name) Preset {
 	p := Preset{
-		Name: name, Admit: true, Queue: 4000, Eager: 0.5, Hold: 0.75,
+		Name: name, Admit: true, Queue: 4000, Reserve: 0.02, Hold: 0.75,
 		Long: 2 * time.Second, Return: 30 * time.Second,
 	}
 	switch name {
 	case Peak:
-		p.Queue, p.Eager, p.Hold = 2000, 0.25, 0.5
+		p.Queue, p.Reserve, p.Hold = 2000, 0.01, 0.5
 	case Maintenance:
 		p.Admit = false
 	case Ordinary:
@@ -220,7 +220,7 @@
 	v := standard(name)
 	v.Admit = s.Bool("admit", v.Admit)
 	v.Queue = s.Int("queue", v.Queue, 1, 1_000_000)
-	v.Eager = s.Float("eager", v.Eager, 0, 1)
+	v.Reserve = s.Float("reserve", v.Reserve, 0, 0.2)
 	v.Hold = s.Float("hold", v.Hold, 0.01, 1)
 	v.Long = s.Duration("long", v.Long, time.Millisecond, time.Hour)
 	v.Return = s.Duration("return", v.Return, time.Millisecond, 24*time.Hour)
--- a/internal/divider/divide.go
+++ b/internal/divider/divide.go
@@ -124,50 +124,78 @@
 	return 0
 }
 
-// Quota is a whole number of slots for one host.
-type Quota struct {
-	Host  string
-	Slots int
+// Holder is a host that gets slots.
+type Holder struct {
+	Host string
+	// Reserve is a number of slots that the host gets beside its shares.
+	Reserve int
 }
 
-// Round turns a division into whole quotas that add up to the slots, by largest
-// remainder. The spare slots go to the hosts in equal parts. Hosts must be
-// sorted and hold every host of the division.
-func Round(d Division, hosts []string) []Quota {
-	exact := make([]float64, len(hosts))
-	for i := range hosts {
-		exact[i] = d.Spare / float64(len(hosts))
+// Range is the part of the slots that one host holds. Slots are numbered so
+// that neighbours are on different targets; see Held.
+type Range struct {
+	Host     string
+	From, To int
+}
+
+// Slots returns the length of the range.
+func (r Range) Slots() int { return r.To - r.From }
+
+// Held returns how many slots of one target are in the range, when there are so
+// many targets. Slot i is on target i modulo targets.
+func (r Range) Held(target, targets int) int {
+	below := func(x int) int { return (x + targets - 1 - target) / targets }
+	return below(r.To) - below(r.From)
+}
+
+// Lay turns a division into one range a host, by largest remainder. The spare
+// slots go to the hosts in equal parts. Holders must be sorted by host and hold
+// every host of the division. A small change of the division moves the ends of
+// the ranges by little.
+func Lay(d Division, holders []Holder) []Range {
+	exact := make([]float64, len(holders))
+	for i := range holders {
+		exact[i] = d.Spare / float64(len(holders))
 	}
 	for _, s := range d.Shares {
-		if i, ok := slices.BinarySearch(hosts, s.Host); ok {
+		i, ok := slices.BinarySearchFunc(holders, s.Host, func(h Holder, host string) int { return strings.Compare(h.Host, host) })
+		if ok {
 			exact[i] += s.Slots
 		}
 	}
-	return round(exact, hosts)
+	ranges := make([]Range, len(holders))
+	from := 0
+	for i, n := range round(exact) {
+		to := from + n + holders[i].Reserve
+		ranges[i] = Range{Host: holders[i].Host, From: from, To: to}
+		from = to
+	}
+	return ranges
 }
 
-func round(exact []float64, hosts []string) []Quota {
-	quotas := make([]Quota, len(hosts))
-	order := make([]int, len(hosts))
-	whole := 0.0
-	given := 0
+// round returns whole numbers close to the exact ones, with the same sum rounded
+// down.
+func round(exact []float64) []int {
+	whole := make([]int, len(exact))
+	order := make([]int, len(exact))
+	sum, given := 0.0, 0
 	for i, e := range exact {
-		quotas[i] = Quota{Host: hosts[i], Slots: int(math.Floor(e + tolerance))}
+		whole[i] = int(math.Floor(e + tolerance))
 		order[i] = i
-		whole += e
-		given += quotas[i].Slots
+		sum += e
+		given += whole[i]
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return compare(exact[b]-math.Floor(exact[b]+tolerance), exact[a]-math.Floor(exact[a]+tolerance))
+		return compare(exact[b]-float64(whole[b]), exact[a]-float64(whole[a]))
 	})
 	for _, i := range order {
-		if given >= int(math.Floor(whole+tolerance)) {
+		if given >= int(math.Floor(sum+tolerance)) {
 			break
 		}
-		quotas[i].Slots++
+		whole[i]++
 		given++
 	}
-	return quotas
+	return whole
 }
 
 // tolerance absorbs the rounding errors of the division.
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -34,8 +34,8 @@
 	active    holder.Heap[*flow]
 	virtual   float64 // start tag of the task that started last, in seconds
 	running   int
-	others    int // tasks of the peers in flight
-	quota     int // slots of this host
+	counted   []*target // targets whose slots are shared out
+	quota     int       // slots of this host
 	level     float64
 	shared    time.Time // when quota was computed
 	blocked   bool      // work waits because the quota is used up
--- a/internal/scheduler/peer.go
+++ b/internal/scheduler/peer.go
@@ -14,6 +14,7 @@
 	report  Report
 	heard   time.Time
 	machine *fsm.FSM
+	uses    map[string]int // its tasks in flight by target
 }
 
 func (r *peer) present() bool { return r.machine.Is(string(Present)) }
@@ -36,6 +37,10 @@
 		return
 	}
 	r.report, r.heard = report, s.now
+	r.uses = make(map[string]int, len(report.Uses))
+	for _, u := range report.Uses {
+		r.uses[u.Target] = u.Tasks
+	}
 	s.turn(r, peerHear)
 	s.resume("a peer reported")
 	s.combine()
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -28,7 +28,7 @@
 	}
 	p.blocked = false
 	var aside []*flow
-	limit := s.limit(p)
+	limit := p.quota
 	for p.active.Len() > 0 {
 		if p.running >= limit {
 			p.blocked = true
@@ -50,16 +50,6 @@
 	}
 }
 
-// limit returns how many tasks the host may have in flight: its quota, and an
-// eager part of the slots that appear idle in the zone.
-func (s *Scheduler) limit(p *pool) int {
-	idle := s.slots(p) - p.running - p.others
-	if idle <= 0 || p.running < p.quota {
-		return p.quota
-	}
-	return max(p.quota, p.running+int(s.config.Current().Eager*float64(idle)))
-}
-
 // slots returns the slots of the pool's usable targets.
 func (s *Scheduler) slots(p *pool) int {
 	n := 0
@@ -122,7 +112,7 @@
 }
 
 // othersWeight is the weight of a peer's task against an own one.
-const othersWeight = 0.5
+const othersWeight = 0.1
 
 // start sends the flow's next task to the target.
 func (s *Scheduler) start(f *flow, t *target) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -87,8 +87,9 @@
 	peers     map[string]*peer
 	records   map[string]*record
 	published time.Time
-	urgent    bool // the next report should not wait for its period
-	offset    int  // where this host begins to look at targets
+	sent      Report // what was published last
+	urgent    bool   // the next report should not wait for its period
+	offset    int    // where this host begins to look at targets
 	effects   []Effect
 	demands   []divider.Demand
 }
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -1,59 +1,95 @@
 package scheduler
 
 import (
+	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/divider"
-	"github.com/shallotrouter/shallotrouter/internal/holder"
 )
 
 // shareEvery is the least time between two divisions of a pool that are not
 // caused by a tick.
 const shareEvery = 5 * time.Millisecond
 
-// share computes this host's quota and its flows' weights from its own demand
-// and the peers' reports.
+// share computes this host's part of the slots and its flows' weights. It uses
+// what this host has published, not what it knows of itself, so that every host
+// of the zone divides the same figures.
 func (s *Scheduler) share(p *pool) {
 	p.shared = s.now
 	s.demands = s.demands[:0]
-	hosts := holder.NewSet(s.Host)
-	for _, f := range p.flows {
-		if n := f.running + f.waiting; n > 0 {
-			s.demands = append(s.demands, divider.Demand{Host: s.Host, Client: f.client, Weight: f.declared, Tasks: float64(n)})
+	p.counted = p.counted[:0]
+	for _, t := range p.targets {
+		t.held, t.owed = 0, 0
+		if t.counted() {
+			p.counted = append(p.counted, t)
 		}
 	}
-	p.others = 0
-	for _, r := range s.peers {
-		if !r.present() {
-			continue
-		}
-		if !r.report.Leaving {
-			hosts.Add(r.report.Host)
-		}
-		s.demandOf(p, r)
+	slots := s.slots(p)
+	holders := s.holders(p, slots)
+	for _, h := range holders {
+		slots -= h.Reserve
 	}
-	slots := float64(s.slots(p))
-	division := divider.Divide(slots, s.demands)
+	division := divider.Divide(float64(slots), s.demands)
 	p.level = division.Level
 	s.adopt(p, division)
-	for _, q := range divider.Round(division, hosts.Sorted()) {
-		if q.Host == s.Host {
-			p.quota = q.Slots
+	for _, r := range divider.Lay(division, holders) {
+		s.hold(p, r)
+	}
+}
+
+// holders returns the hosts that share the pool, and gathers their demands. A
+// host without waiting work gets a reserve, so that a small job finds a free
+// slot there while the others are backlogged.
+func (s *Scheduler) holders(p *pool, slots int) []divider.Holder {
+	reserve := int(math.Ceil(s.config.Current().Reserve * float64(slots)))
+	holders := []divider.Holder{{Host: s.Host, Reserve: s.demandOf(p, s.sent, reserve)}}
+	for _, r := range s.peers {
+		if r.present() {
+			holders = append(holders, divider.Holder{Host: r.report.Host, Reserve: s.demandOf(p, r.report, reserve)})
 		}
 	}
+	slices.SortFunc(holders, func(a, b divider.Holder) int { return strings.Compare(a.Host, b.Host) })
+	return holders
 }
 
-// demandOf adds what one peer reported of the pool's clients.
-func (s *Scheduler) demandOf(p *pool, r *peer) {
-	for _, d := range r.report.Demands {
+// demandOf adds what one host reported of the pool's clients, and returns the
+// reserve that it gets.
+func (s *Scheduler) demandOf(p *pool, report Report, reserve int) int {
+	for _, d := range report.Demands {
 		if d.Service != p.service.Name {
 			continue
 		}
-		p.others += d.Running
+		if d.Waiting > 0 {
+			reserve = 0
+		}
 		s.demands = append(s.demands, divider.Demand{
-			Host: r.report.Host, Client: d.Client, Weight: s.weight(d.Client), Tasks: float64(d.Running + d.Waiting),
+			Host: report.Host, Client: d.Client, Weight: s.weight(d.Client), Tasks: float64(d.Running + d.Waiting),
 		})
 	}
+	if report.Leaving {
+		reserve = 0
+	}
+	return reserve
+}
+
+// hold notes one host's range: for this host the slots that it may use of each
+// target, for a peer those of its tasks that run outside its range.
+func (s *Scheduler) hold(p *pool, r divider.Range) {
+	if r.Host == s.Host {
+		p.quota = r.Slots()
+		for i, t := range p.counted {
+			t.held = r.Held(i, len(p.counted))
+		}
+		return
+	}
+	uses := s.peers[r.Host].uses
+	for i, t := range p.counted {
+		if over := uses[t.name] - r.Held(i, len(p.counted)); over > 0 {
+			t.owed += over
+		}
+	}
 }
 
 // adopt sets the weights of this host's flows: the share of a client that wants
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -21,6 +21,8 @@
 	slots     int
 	own       int // this host's tasks in flight
 	others    int // the peers' tasks in flight, as last reported
+	held      int // slots in this host's range
+	owed      int // peers' tasks in flight outside of the peers' ranges
 	busy      int // refusals in a row
 	full      int // the peers' tasks that the last refusal proves
 	fullUntil time.Time
@@ -103,14 +105,14 @@
 // counted reports whether the target's slots are shared out.
 func (t *target) counted() bool { return t.state() == Live && t.ejector == "" }
 
-// free returns the slots that appear to be free: what the peers report in use
-// counts, and what a busy answer has proved.
+// free returns the slots of this host's range that appear to be free. Tasks that
+// peers still have there count, and so does what a busy answer has proved.
 func (t *target) free(now time.Time) int {
-	others := t.others
+	free := t.held - t.own - t.owed
 	if now.Before(t.fullUntil) {
-		others = max(others, t.full)
+		free = min(free, t.slots-t.own-t.full)
 	}
-	return t.slots - t.own - others
+	return free
 }
 
 // refuse records a busy answer.
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -66,7 +66,8 @@
 func (s *Scheduler) publish() {
 	s.published = s.now
 	s.urgent = false
-	s.emit(Publish{Report: s.report()})
+	s.sent = s.report()
+	s.emit(Publish{Report: s.sent})
 }
 
 // offset returns where a host begins to look at targets, so that hosts that see
