scheduler: doubt about a target is measured against its kind's run times

Cause of 12 % idle slots under backlog: three of 17 healthy targets of a zone were ejected as slow, since run times with a long tail push a mean of ratios over any low threshold (seen in the sums of quotas: 112 of 136 slots). The log-survival of each run time is now summed, over all hosts, and compared with the other targets'. A first try without that comparison ejected four: the first tasks to end are the short ones, so the rest looked late.

--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -53,6 +53,8 @@
 	Backs []*Back
 	// Tally collects the measures.
 	Tally *Tally
+	// Log is told of marked decisions; it may be nil.
+	Log func(n *Node, text string)
 	// Config is the newest configuration.
 	Config *declarer.Config
 
@@ -263,6 +265,9 @@
 	case scheduler.Violate:
 		w.Tally.violate("%s: %s", e.Invariant, e.Detail)
 	case scheduler.Decide:
+		if e.Action == scheduler.Mark && w.Log != nil {
+			w.Log(n, e.Target+" "+e.Reason)
+		}
 		if e.Action == scheduler.Requeue {
 			w.Tally.Requeues++
 		}
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -85,16 +85,12 @@
 // learn updates the run time of the task's kind and the target's slowness. The
 // comparison uses what was expected before this run.
 func (s *Scheduler) learn(j *job, t *target, e Finish) {
-	p := j.flow.pool
+	estimates := &j.flow.pool.estimates
 	kind := j.tasks[e.Task].kind
-	mean := p.estimates.Mean(kind, 0)
-	if _, known := p.estimates.Tail(kind); known && mean > 0 {
-		s.succeed(t, e.Elapsed.Seconds()/mean.Seconds())
-	} else {
-		s.succeed(t, 1)
-	}
-	if t.ratio < slowRatio {
-		p.estimates.Learn(kind, e.Elapsed)
+	ratio := e.Elapsed.Seconds() / estimates.Mean(kind, e.Elapsed).Seconds()
+	s.succeed(t, ratio, estimates.Surprise(kind, e.Elapsed))
+	if t.doubt < doubtStep {
+		estimates.Learn(kind, e.Elapsed)
 	}
 }
 
--- a/internal/scheduler/peer.go
+++ b/internal/scheduler/peer.go
@@ -81,7 +81,7 @@
 // slots anew.
 func (s *Scheduler) combine() {
 	for _, t := range s.targets {
-		t.others, t.warned, t.ejector = 0, false, ""
+		t.others, t.doubted, t.warned, t.ejector = 0, 0, false, ""
 	}
 	for _, r := range s.peers {
 		if !r.present() {
@@ -109,6 +109,7 @@
 // merge adds one peer's word of the target.
 func (t *target) merge(host string, u Use) {
 	t.others += u.Tasks
+	t.doubted += float64(u.Doubt * doubtStep)
 	switch u.State {
 	case Departing:
 		t.warned = true
@@ -139,7 +140,7 @@
 			}
 		}
 		for _, t := range p.targets {
-			if u := t.use(s.now); u.Tasks > 0 || u.State != "" {
+			if u := t.use(s.now); u != (Use{Target: t.name}) {
 				r.Uses = append(r.Uses, u)
 			}
 		}
@@ -149,7 +150,7 @@
 
 // use returns this host's first-hand view of the target.
 func (t *target) use(now time.Time) Use {
-	u := Use{Target: t.name, Tasks: t.own}
+	u := Use{Target: t.name, Tasks: t.own, Doubt: int((t.doubt + t.flying) / doubtStep)}
 	switch t.state() {
 	case Departing:
 		if t.listed || now.Before(t.told) {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -168,8 +168,7 @@
 
 // fly notes the task among the target's flights.
 func (s *Scheduler) fly(t *target, j *job, index int) {
-	tail, _ := t.pool.estimates.Tail(j.specs[index].Kind)
-	t.flights = append(t.flights, &flight{job: j, index: index, sent: s.now, tail: tail})
+	t.flights = append(t.flights, &flight{job: j, index: index, sent: s.now, kind: j.tasks[index].kind})
 }
 
 // count adds to all counters of tasks in flight.
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -32,4 +32,6 @@
 	Tasks int `cbor:"2,keyasint,omitempty"`
 	// State is omitted for a live target.
 	State State `cbor:"3,keyasint,omitempty"`
+	// Doubt tells how surprisingly long the host's tasks take there.
+	Doubt int `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -32,7 +32,9 @@
 	lastFailed uint64
 	unsent     int     // failures to reach it in a row
 	ratio      float64 // run time over the expected one, smoothed
-	samples    int
+	doubt      float64 // surprise of the tasks that ended, beyond the usual
+	flying     float64 // surprise of the tasks in flight, beyond the usual
+	doubted    float64 // the peers' doubt, as last reported
 	retryAt    time.Time
 	interval   time.Duration
 	ejector    string // the least name among the peers that eject it
@@ -44,7 +46,7 @@
 	job   *job
 	index int
 	sent  time.Time
-	tail  time.Duration // run time that few tasks of its kind exceed
+	kind  string
 }
 
 const (
@@ -53,18 +55,22 @@
 	failureStreak = 3
 	// unsentStreak is the number of failed connections in a row that eject.
 	unsentStreak = 2
-	// slowRatio is the smoothed slowness from which a target is ejected.
-	slowRatio = 3
 	// ratioCap bounds what one run time adds to the smoothed slowness.
-	ratioCap = 6
+	ratioCap = 3
 	// ratioGain is the weight of one run time in the smoothed slowness.
-	ratioGain = 0.2
-	// slowSamples is the least number of run times before slowness counts.
-	slowSamples = 4
-	// lateFlights is the number of overdue tasks in flight that eject.
-	lateFlights = 2
-	// lateFactor is how far past its kind's tail a task is overdue.
-	lateFactor = 1.5
+	ratioGain = 0.1
+	// usualSurprise is subtracted from the surprise of each task; on a healthy
+	// target the mean is below 1.
+	usualSurprise = 2
+	// slowDoubt is the doubt of all hosts together that ejects a target.
+	slowDoubt = 12
+	// usualDoubt is how many times the mean doubt about all targets is allowed
+	// to each beside that.
+	usualDoubt = 2
+	// doubtStep is the grain in which hosts report their doubt.
+	doubtStep = 4
+	// trialSurprise is the most that a task of a passed trial may surprise.
+	trialSurprise = 3
 	// firstTrial and lastTrial bound the growing interval between trials.
 	firstTrial = 5 * time.Second
 	lastTrial  = 5 * time.Minute
@@ -147,24 +153,24 @@
 	}
 }
 
-// succeed records a task that the target ran.
-func (s *Scheduler) succeed(t *target, ratio float64) {
+// succeed records a task that the target ran, with its slowness and surprise.
+func (s *Scheduler) succeed(t *target, ratio float64, surprise int) {
 	t.failures, t.unsent, t.busy = 0, 0, 0
-	t.samples++
 	t.ratio += (min(ratio, ratioCap) - t.ratio) * ratioGain
-	switch {
-	case t.state() == Trial && ratio < slowRatio:
+	t.doubt = max(0, t.doubt+float64(surprise)-usualSurprise)
+	if t.state() != Trial {
+		return
+	}
+	if surprise <= trialSurprise {
 		s.restore(t, "passed its trial")
-	case t.state() == Trial:
-		s.eject(t, "slow in its trial", firstTrial)
-	case t.samples >= slowSamples && t.ratio >= slowRatio:
-		s.eject(t, "slow", firstTrial)
+		return
 	}
+	s.eject(t, "slow in its trial", firstTrial)
 }
 
 // restore makes an ejected target live again.
 func (s *Scheduler) restore(t *target, reason string) {
-	t.ratio, t.samples, t.failures, t.unsent = 1, 0, 0, 0
+	t.ratio, t.doubt, t.failures, t.unsent = 1, 0, 0, 0
 	t.interval = 0
 	s.shift(t, targetPass, reason)
 }
@@ -225,15 +231,27 @@
 	if t.state() == Ejected && !s.now.Before(t.retryAt) {
 		s.retry(t)
 	}
-	late := 0
+	t.flying = 0
 	for _, f := range t.flights {
-		if f.tail > 0 && s.now.Sub(f.sent) > time.Duration(lateFactor*float64(f.tail)) {
-			late++
-		}
+		t.flying += max(0, float64(t.pool.estimates.Surprise(f.kind, s.now.Sub(f.sent)))-usualSurprise)
 	}
-	if late >= lateFlights && 2*late >= len(t.flights) {
-		s.eject(t, "overdue", firstTrial)
+	own := t.doubt + t.flying
+	if own >= doubtStep && own+t.doubted >= slowDoubt+usualDoubt*t.pool.doubt() {
+		s.eject(t, "slow", firstTrial)
+	}
+}
+
+// doubt returns the mean doubt about the pool's live targets. When all are
+// doubted, the expected run times are wrong and not the targets.
+func (p *pool) doubt() float64 {
+	sum, n := 0.0, 0.0
+	for _, t := range p.targets {
+		if t.counted() {
+			sum += t.doubt + t.flying + t.doubted
+			n++
+		}
 	}
+	return sum / max(n, 1)
 }
 
 // retry starts a trial. Of all hosts that eject a target only the one with the
