scheduler: a target may hold a task until a slot is free, up to its start-by time

Ranges move with the demand, and a slot that changes hands is still taken by its former holder's task.

--- a/internal/bencher/tally.go
+++ b/internal/bencher/tally.go
@@ -20,6 +20,8 @@
 	Requeues    int
 	Reports     int
 	ReportBytes int
+	// Held is the time that tasks waited at targets for a slot.
+	Held time.Duration
 	// Submissions are all jobs.
 	Submissions []*Submission
 	// Violations are the broken invariants.
--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shallotrouter/shallotrouter"
@@ -38,6 +39,8 @@
 	Bounds scheduler.Bounds
 	// Scatter places tasks at random instead of evenly.
 	Scatter bool
+	// Refuse makes targets refuse what they cannot start at once.
+	Refuse bool
 	// Merge queues all clients' jobs as one client's.
 	Merge bool
 }
@@ -102,6 +105,7 @@
 	Dead    bool
 
 	running int
+	held    []*held
 	left    time.Time // when it began to leave
 }
 
@@ -323,6 +327,15 @@
 // keyShift is the number of bits for the ticket number in a key.
 const keyShift = 40
 
+// held is a task that waits at a target for a slot.
+type held struct {
+	by    time.Time
+	begin func()
+}
+
+// holdBound bounds the tasks that wait at a target.
+const holdBound = 52
+
 // arrive starts a task at its target, or refuses it.
 func (w *World) arrive(n *Node, e scheduler.Start, sub *Submission, sent time.Time) {
 	b := w.back(e.Target)
@@ -339,12 +352,41 @@
 		answer(scheduler.Leaving, w.Near)
 	case w.now.After(e.By):
 		answer(scheduler.Late, w.Near)
-	case b.running >= w.Slots:
+	case b.running < w.Slots:
+		w.begin(b, e, sub, answer)
+	case len(b.held) >= holdBound || w.Refuse:
 		w.Tally.Busy++
 		answer(scheduler.Busy, w.Near)
 	default:
+		w.hold(b, e, sub, answer)
+	}
+}
+
+// hold lets a task wait at its target until a slot is free or it is late.
+func (w *World) hold(b *Back, e scheduler.Start, sub *Submission, answer func(scheduler.Result, time.Duration)) {
+	arrived := w.now
+	h := &held{by: e.By}
+	h.begin = func() {
+		w.Tally.Held += w.now.Sub(arrived)
 		w.begin(b, e, sub, answer)
 	}
+	b.held = append(b.held, h)
+	w.After(e.By.Sub(w.now), func() {
+		if i := slices.Index(b.held, h); i >= 0 {
+			b.held = slices.Delete(b.held, i, i+1)
+			w.Tally.Busy++
+			answer(scheduler.Late, w.Near)
+		}
+	})
+}
+
+// next starts the task that has waited longest at a target.
+func (b *Back) next() {
+	if len(b.held) > 0 {
+		h := b.held[0]
+		b.held = b.held[1:]
+		h.begin()
+	}
 }
 
 // begin runs a task.
@@ -359,6 +401,7 @@
 	w.Tally.busy(sub.Client, run)
 	w.After(run, func() {
 		b.running--
+		b.next()
 		if b.Dead {
 			answer(scheduler.Lost, w.Near)
 			return
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -70,27 +70,14 @@
 	s.dispatch(p)
 }
 
-// reshare divides the pool anew when the host wants more than its quota, and
-// tells the peers soon.
+// reshare tells the peers at once when the host wants more than its quota and
+// more than it last asked for, and divides the pool anew.
 func (s *Scheduler) reshare(p *pool) {
-	if p.running+p.waitingTasks() <= p.quota || s.now.Sub(p.shared) < shareEvery {
+	if p.running+p.waiting <= p.quota || s.wants(p) <= s.asked(p)*askGrowth || s.now.Sub(s.published) < urgentGap {
 		return
 	}
+	s.publish()
 	s.share(p)
-	if s.now.Sub(s.published) >= s.Bounds.Hurry {
-		s.publish()
-	}
-}
-
-// waitingTasks returns the pool's waiting tasks, up to its quota.
-func (p *pool) waitingTasks() int {
-	n := 0
-	for _, f := range p.active.Items() {
-		if n += f.waiting; n > p.quota {
-			break
-		}
-	}
-	return n
 }
 
 // joined answers a submission whose ticket is not fresh.
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -34,6 +34,9 @@
 	active    holder.Heap[*flow]
 	virtual   float64 // start tag of the task that started last, in seconds
 	running   int
+	waiting   int
+	wanted    bool      // a peer has work waiting
+	overhang  int       // tasks outside this host's range, when it last reported
 	counted   []*target // targets whose slots are shared out
 	quota     int       // slots of this host
 	level     float64
@@ -77,6 +80,7 @@
 	j.flow = f
 	j.key = f.pool.order(j)
 	f.work += j.work
+	f.pool.waiting += len(j.queue)
 	f.waiting += len(j.queue)
 	f.jobs.Push(j)
 	f.activate()
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -88,6 +88,7 @@
 	f.waiting -= len(j.queue)
 	f.work -= j.work
 	s.waiting -= len(j.queue)
+	f.pool.waiting -= len(j.queue)
 	j.queue = nil
 	j.work = 0
 	if f.waiting == 0 {
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -106,11 +106,15 @@
 }
 
 // load orders targets: this host's tasks weigh more than the peers', which are
-// known late, and a slow target's tasks weigh more than a fast one's.
+// known late, and a slow target's tasks weigh more than a fast one's. A slot that
+// a peer has yet to leave comes last.
 func (t *target) load() float64 {
-	return (float64(t.own+1) + othersWeight*float64(t.others)) * max(1, t.ratio/2)
+	return (float64(t.own+1)+othersWeight*float64(t.others))*max(1, t.ratio/2) + owedWeight*float64(t.owed)
 }
 
+// owedWeight is the weight of a peer's task outside of its range.
+const owedWeight = 4
+
 // othersWeight is the weight of a peer's task against an own one.
 const othersWeight = 0.1
 
@@ -158,6 +162,7 @@
 	f.work -= k.charge
 	f.waiting--
 	s.waiting--
+	f.pool.waiting--
 	if last == 0 {
 		f.jobs.Remove(j)
 	}
@@ -209,6 +214,7 @@
 	f.work += k.charge
 	f.waiting++
 	s.waiting++
+	p.waiting++
 	if len(j.queue) == 1 {
 		f.jobs.Push(j)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,8 +49,8 @@
 	return Bounds{
 		Tick: 50 * time.Millisecond, Pause: 2 * time.Second, Within: time.Second,
 		Life: 10 * time.Minute, Keep: time.Minute, KeepBytes: 16 << 20, KeepJobs: 20_000,
-		Waiting: 100_000, Peers: 64, Quiet: 1600 * time.Millisecond,
-		Calm: 500 * time.Millisecond, Hurry: 100 * time.Millisecond,
+		Waiting: 100_000, Peers: 64, Quiet: 2200 * time.Millisecond,
+		Calm: time.Second, Hurry: 50 * time.Millisecond,
 	}
 }
 
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -4,15 +4,10 @@
 	"math"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/divider"
 )
 
-// shareEvery is the least time between two divisions of a pool that are not
-// caused by a tick.
-const shareEvery = 5 * time.Millisecond
-
 // share computes this host's part of the slots and its flows' weights. It uses
 // what this host has published, not what it knows of itself, so that every host
 // of the zone divides the same figures.
@@ -20,6 +15,7 @@
 	p.shared = s.now
 	s.demands = s.demands[:0]
 	p.counted = p.counted[:0]
+	p.wanted = false
 	for _, t := range p.targets {
 		t.held, t.owed = 0, 0
 		if t.counted() {
@@ -63,6 +59,7 @@
 		}
 		if d.Waiting > 0 {
 			reserve = 0
+			p.wanted = p.wanted || report.Host != s.Host
 		}
 		s.demands = append(s.demands, divider.Demand{
 			Host: report.Host, Client: d.Client, Weight: s.weight(d.Client), Tasks: float64(d.Running + d.Waiting),
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -111,10 +111,11 @@
 // counted reports whether the target's slots are shared out.
 func (t *target) counted() bool { return t.state() == Live && t.ejector == "" }
 
-// free returns the slots of this host's range that appear to be free. Tasks that
-// peers still have there count, and so does what a busy answer has proved.
+// free returns the slots of this host's range that it does not use. A peer's task
+// may still be there; the target then holds the next one until it ends. What a
+// busy answer has proved counts against it.
 func (t *target) free(now time.Time) int {
-	free := t.held - t.own - t.owed
+	free := t.held - t.own
 	if now.Before(t.fullUntil) {
 		free = min(free, t.slots-t.own-t.full)
 	}
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -46,11 +46,12 @@
 	}
 }
 
-// publishDue publishes a report when its period is over.
+// publishDue publishes a report when its period is over, or sooner when the
+// last one misleads the peers.
 func (s *Scheduler) publishDue() {
 	period := s.Bounds.Calm
 	for _, p := range s.pools {
-		if p.blocked {
+		if s.misleads(p) {
 			period = s.Bounds.Hurry
 		}
 	}
@@ -62,11 +63,59 @@
 	}
 }
 
+// misleads reports whether the last report gives the peers a wrong picture that
+// costs time: this host wants more slots than it asked for, or it holds slots
+// that it does not use while a peer has work waiting.
+func (s *Scheduler) misleads(p *pool) bool {
+	if p.wanted && p.quota-p.running >= releaseSlots {
+		return true
+	}
+	if p.wanted && s.overhang(p) < p.overhang {
+		return true
+	}
+	return p.blocked && s.wants(p) > s.asked(p)*askGrowth
+}
+
+const (
+	// releaseSlots is the number of unused slots that a host gives back to
+	// backlogged peers without waiting for its period.
+	releaseSlots = 2
+	// askGrowth is the growth of demand that a host tells without waiting for
+	// its period.
+	askGrowth = 1.25
+)
+
+// wants returns the tasks that the host's clients have now.
+func (s *Scheduler) wants(p *pool) float64 { return float64(p.running + p.waiting) }
+
+// asked returns the tasks that the last report told.
+func (s *Scheduler) asked(p *pool) float64 {
+	n := 0
+	for _, d := range s.sent.Demands {
+		if d.Service == p.service.Name {
+			n += d.Running + d.Waiting
+		}
+	}
+	return float64(n)
+}
+
+// overhang returns the host's tasks that run outside its range.
+func (s *Scheduler) overhang(p *pool) int {
+	n := 0
+	for _, t := range p.counted {
+		n += max(0, t.own-t.held)
+	}
+	return n
+}
+
 // publish hands the current report to the peers.
 func (s *Scheduler) publish() {
 	s.published = s.now
 	s.urgent = false
 	s.sent = s.report()
+	for _, p := range s.pools {
+		p.overhang = s.overhang(p)
+	}
 	s.emit(Publish{Report: s.sent})
 }
 
