divider: a client's share is split max-min between its hosts

Cause of the slow tail at 60 %: a client's share was split in proportion to its demand at each host, so 6 tasks at one host got 6/186 of it beside a manifest of 180 at another.

--- a/internal/divider/divide.go
+++ b/internal/divider/divide.go
@@ -41,9 +41,10 @@
 	Level float64
 }
 
-// Divide gives each client its weighted max-min share of slots, and splits it
-// between hosts in proportion to the client's demand there. It does not depend
-// on the order of demands and does not keep them; it sorts them in place.
+// Divide gives each client its weighted max-min share of slots, and each of the
+// client's hosts a max-min share of that, so that a small demand at one host does
+// not wait behind a large one at another. It does not depend on the order of
+// demands and does not keep them; it sorts them in place.
 func Divide(slots float64, demands []Demand) Division {
 	slices.SortFunc(demands, func(a, b Demand) int {
 		if c := strings.Compare(a.Client, b.Client); c != 0 {
@@ -55,18 +56,21 @@
 	left, level := fill(slots, totals)
 	shares := make([]Share, 0, len(demands))
 	for _, t := range totals {
+		hosts := make([]total, 0, t.to-t.from)
 		for _, d := range demands[t.from:t.to] {
-			part := 0.0
-			if t.tasks > 0 {
-				part = t.given * d.Tasks / t.tasks
-			}
-			shares = append(shares, Share{Host: d.Host, Client: d.Client, Slots: part, Satisfied: t.given >= t.tasks})
+			hosts = append(hosts, total{weight: 1, tasks: d.Tasks})
+		}
+		fill(t.given, hosts)
+		for i, d := range demands[t.from:t.to] {
+			shares = append(shares, Share{
+				Host: d.Host, Client: d.Client, Slots: hosts[i].given, Satisfied: hosts[i].given >= hosts[i].tasks-tolerance,
+			})
 		}
 	}
 	return Division{Shares: shares, Spare: left, Level: level}
 }
 
-// total is one client's demand over all hosts.
+// total is one demand to be filled: a client's over all hosts, or a host's.
 type total struct {
 	from, to int
 	weight   float64
