scheduler: reports are sent ahead of their period only when they change a share

A report now goes out early only when the host holds 3 unused slots and asked for 3 tasks more than it has. Tried: thresholds of 2 to 8 slots, periods of 50 and 100 ms.

--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -36,7 +36,6 @@
 	running   int
 	waiting   int
 	wanted    bool      // a peer has work waiting
-	overhang  int       // tasks outside this host's range, when it last reported
 	counted   []*target // targets whose slots are shared out
 	quota     int       // slots of this host
 	level     float64
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -50,7 +50,7 @@
 		Tick: 50 * time.Millisecond, Pause: 2 * time.Second, Within: time.Second,
 		Life: 10 * time.Minute, Keep: time.Minute, KeepBytes: 16 << 20, KeepJobs: 20_000,
 		Waiting: 100_000, Peers: 64, Quiet: 2200 * time.Millisecond,
-		Calm: time.Second, Hurry: 50 * time.Millisecond,
+		Calm: time.Second, Hurry: 100 * time.Millisecond,
 	}
 }
 
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -67,10 +67,7 @@
 // costs time: this host wants more slots than it asked for, or it holds slots
 // that it does not use while a peer has work waiting.
 func (s *Scheduler) misleads(p *pool) bool {
-	if p.wanted && p.quota-p.running >= releaseSlots {
-		return true
-	}
-	if p.wanted && s.overhang(p) < p.overhang {
+	if p.wanted && p.quota-p.running >= releaseSlots && s.asked(p)-s.wants(p) >= releaseSlots {
 		return true
 	}
 	return p.blocked && s.wants(p) > s.asked(p)*askGrowth
@@ -79,7 +76,7 @@
 const (
 	// releaseSlots is the number of unused slots that a host gives back to
 	// backlogged peers without waiting for its period.
-	releaseSlots = 2
+	releaseSlots = 3
 	// askGrowth is the growth of demand that a host tells without waiting for
 	// its period.
 	askGrowth = 1.25
@@ -99,23 +96,11 @@
 	return float64(n)
 }
 
-// overhang returns the host's tasks that run outside its range.
-func (s *Scheduler) overhang(p *pool) int {
-	n := 0
-	for _, t := range p.counted {
-		n += max(0, t.own-t.held)
-	}
-	return n
-}
-
 // publish hands the current report to the peers.
 func (s *Scheduler) publish() {
 	s.published = s.now
 	s.urgent = false
 	s.sent = s.report()
-	for _, p := range s.pools {
-		p.overhang = s.overhang(p)
-	}
 	s.emit(Publish{Report: s.sent})
 }
 
