scheduler: a client's tag never goes back

Cause of small jobs waiting 1 s beside a flood: each task is charged its kind's mean at the start and the difference at the end, and short tasks end first, so the flooding client's tag fell behind the virtual time (12.36 -> 12.16 s) and it kept the slots. The difference is now carried over to the client's next starts, each of which is charged a quarter of its expectation at least.

--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -23,7 +23,7 @@
 	s.count(j, k, -1)
 	t.land(j, e.Task)
 	if !e.Result.Started() {
-		j.flow.charge(-k.charge)
+		j.flow.debt -= k.charge
 		s.declined(t, e.Result)
 		s.requeue(j, e.Task, e.Result)
 	} else {
@@ -53,7 +53,7 @@
 
 // ran records a task that may have started.
 func (s *Scheduler) ran(j *job, k *task, e Finish) {
-	j.flow.charge(e.Elapsed - k.charge)
+	j.flow.debt += e.Elapsed - k.charge
 	t := k.target
 	switch e.Result {
 	case Done:
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -24,6 +24,7 @@
 	running  int
 	long     int           // running tasks that are expected to run long
 	work     time.Duration // expected run time of the waiting tasks
+	debt     time.Duration // run time that was not charged yet, or too much
 }
 
 // pool is one service: its targets and the flows that share them.
@@ -94,8 +95,13 @@
 	f.pool.active.Push(f)
 }
 
-// charge moves the flow's tag by executor time.
-func (f *flow) charge(amount time.Duration) {
+// charge moves the flow's tag by the expected run time of a task that starts,
+// and by what earlier tasks ran longer or shorter than expected. The tag never
+// goes back: a client whose short tasks end first would otherwise overtake the
+// others until its long ones end.
+func (f *flow) charge(expected time.Duration) {
+	amount := max(expected+f.debt, expected/leastCharge)
+	f.debt -= amount - expected
 	f.tag += amount.Seconds() / max(f.weight, minWeight)
 	if f.pool.active.Has(f) {
 		f.pool.active.Fix(f)
@@ -129,6 +135,9 @@
 const (
 	// minWeight keeps the tags of a flow finite.
 	minWeight = 1e-3
+	// leastCharge is the part of a task's expected run time that is charged at
+	// least, as a divisor.
+	leastCharge = 4
 	// ageing is the seconds that a job is put back for each second of work.
 	ageing = 0.1
 )
