bencher: random faults against what must always hold, and the stated targets

A transport that calls a lost task unsent is caught as a second start. A target's own word that it is leaving now holds for 5 minutes: after 30 s it got a new task while the list still lagged.

--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -41,6 +41,9 @@
 	Scatter bool
 	// Refuse makes targets refuse what they cannot start at once.
 	Refuse bool
+	// Unproven is a defect for tests of the checks: a task whose fate is unknown
+	// is reported as never sent.
+	Unproven bool
 	// Merge queues all clients' jobs as one client's.
 	Merge bool
 }
@@ -88,9 +91,12 @@
 	// Cut hosts reach no peer and no platform.
 	Cut bool
 
-	held []scheduler.Event // what came while the host was frozen
-	sent []scheduler.Report
-	last scheduler.Report
+	joined time.Time // when it last came to reach the others
+
+	held    []scheduler.Event // what came while the host was frozen
+	sent    []scheduler.Report
+	last    scheduler.Report
+	version uint64 // of the configuration, when last checked
 }
 
 // Back is one target.
@@ -106,7 +112,7 @@
 
 	running int
 	held    []*held
-	left    time.Time // when it began to leave
+	told    time.Time // when a host that reaches the others knew that it is leaving
 }
 
 // Submission is one job on its way.
@@ -167,7 +173,7 @@
 // AddNode starts an entry host that knows the configuration and its zone's
 // targets.
 func (w *World) AddNode(name, zone string) *Node {
-	n := &Node{Name: name, Zone: zone}
+	n := &Node{Name: name, Zone: zone, joined: w.now}
 	n.Scheduler = &scheduler.Scheduler{
 		Host: name, Zone: zone, Address: name, Bounds: w.Bounds, Incarnation: uint64(w.now.UnixNano()),
 	}
@@ -348,7 +354,7 @@
 	case b.Dead:
 		answer(scheduler.Unsent, w.Near)
 	case b.Leaving:
-		w.Tally.leaving(b)
+		w.Tally.leaving(n, b)
 		answer(scheduler.Leaving, w.Near)
 	case w.now.After(e.By):
 		answer(scheduler.Late, w.Near)
@@ -403,7 +409,7 @@
 		b.running--
 		b.next()
 		if b.Dead {
-			answer(scheduler.Lost, w.Near)
+			answer(w.lost(), w.Near)
 			return
 		}
 		sub.ends[e.Task] = true
@@ -411,6 +417,14 @@
 	})
 }
 
+// lost is how the end of a task is reported whose answer was lost.
+func (w *World) lost() scheduler.Result {
+	if w.Unproven {
+		return scheduler.Unsent
+	}
+	return scheduler.Lost
+}
+
 // Submit takes a ticket at a node and submits a job there.
 func (w *World) Submit(n *Node, client string, job shallotrouter.Job, runs []time.Duration) *Submission {
 	sub := &Submission{Client: client, Node: n, Job: job, Runs: runs, At: w.now, starts: make([]int, len(runs)), ends: make([]bool, len(runs))}
--- a/internal/declarer/declarations.go
+++ b/internal/declarer/declarations.go
@@ -122,12 +122,12 @@
 // standard returns the built-in values of a preset.
 func standard(name Name) Preset {
 	p := Preset{
-		Name: name, Admit: true, Queue: 4000, Reserve: 0.02, Hold: 0.75,
+		Name: name, Admit: true, Queue: 4000, Reserve: 0.01, Hold: 0.75,
 		Long: 2 * time.Second, Return: 30 * time.Second,
 	}
 	switch name {
 	case Peak:
-		p.Queue, p.Reserve, p.Hold = 2000, 0.01, 0.5
+		p.Queue, p.Reserve, p.Hold = 2000, 0, 0.5
 	case Maintenance:
 		p.Admit = false
 	case Ordinary:
--- a/internal/divider/divide.go
+++ b/internal/divider/divide.go
@@ -135,8 +135,8 @@
 	Reserve int
 }
 
-// Range is the part of the slots that one host holds. Slots are numbered so
-// that neighbours are on different targets; see Held.
+// Range is the part of the slots, in an order that all hosts share, that one host
+// holds.
 type Range struct {
 	Host     string
 	From, To int
@@ -145,13 +145,6 @@
 // Slots returns the length of the range.
 func (r Range) Slots() int { return r.To - r.From }
 
-// Held returns how many slots of one target are in the range, when there are so
-// many targets. Slot i is on target i modulo targets.
-func (r Range) Held(target, targets int) int {
-	below := func(x int) int { return (x + targets - 1 - target) / targets }
-	return below(r.To) - below(r.From)
-}
-
 // Lay turns a division into one range a host, by largest remainder. The spare
 // slots go to the hosts in equal parts. Holders must be sorted by host and hold
 // every host of the division. A small change of the division moves the ends of
--- a/internal/faker/target.go
+++ b/internal/faker/target.go
@@ -45,8 +45,7 @@
 	Starts map[string]int `json:"starts"`
 	// Most is the greatest number of tasks that ran together.
 	Most int `json:"most"`
-	// Busy, Late and Left count the refusals.
-	Busy int `json:"busy"`
+	// Late and Left count the refusals.
 	Late int `json:"late"`
 	Left int `json:"left"`
 }
@@ -57,17 +56,20 @@
 	Slots int
 
 	mutex   sync.Mutex
+	free    chan struct{} // one token a free slot
 	running int
 	trouble Trouble
 	counts  Counts
-	stop    chan struct{}
 }
 
 // Handler returns the target's HTTP interface: POST /run, and for tests GET
 // /counts and PUT /trouble.
 func (t *Target) Handler() http.Handler {
 	t.counts.Starts = make(map[string]int)
-	t.stop = make(chan struct{})
+	t.free = make(chan struct{}, t.Slots)
+	for range t.Slots {
+		t.free <- struct{}{}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+dispatcher.Path, t.run)
 	mux.HandleFunc("GET /counts", t.showCounts)
@@ -101,13 +103,14 @@
 		return
 	}
 	name := r.Header.Get(dispatcher.HeaderTask)
-	trouble, reason := t.begin(name, r.Header.Get(dispatcher.HeaderStartBy))
+	reason := t.await(r)
 	if reason != "" {
 		w.Header().Set(dispatcher.HeaderNotStarted, name)
 		w.Header().Set(dispatcher.HeaderReason, reason)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	trouble := t.begin(name)
 	work := Work{Echo: string(payload)}
 	_ = json.Unmarshal(payload, &work) // any other payload is echoed as it is
 	t.work(r, work, trouble)
@@ -115,32 +118,55 @@
 	t.answer(w, name, work, trouble)
 }
 
-// begin counts a start, or returns the reason to refuse it.
-func (t *Target) begin(name, by string) (Trouble, string) {
+// await takes a slot, or returns the reason to refuse the task. A task waits for
+// a slot until its start-by time.
+func (t *Target) await(r *http.Request) string {
+	limit, err := strconv.ParseInt(r.Header.Get(dispatcher.HeaderStartBy), 10, 64)
+	left := time.Until(time.UnixMilli(limit))
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	limit, err := strconv.ParseInt(by, 10, 64)
-	switch {
-	case t.trouble.Leaving:
+	if t.trouble.Leaving {
 		t.counts.Left++
-		return t.trouble, "leaving"
-	case err != nil || time.Now().UnixMilli() > limit:
+		return "leaving"
+	}
+	if err != nil || left <= 0 {
+		t.counts.Late++
+		return "late"
+	}
+	t.mutex.Unlock()
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	taken := false
+	select {
+	case <-t.free:
+		taken = true
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+	t.mutex.Lock()
+	if !taken {
 		t.counts.Late++
-		return t.trouble, "late"
-	case t.running >= t.Slots:
-		t.counts.Busy++
-		return t.trouble, "busy"
+		return "late"
 	}
+	return ""
+}
+
+// begin counts a start.
+func (t *Target) begin(name string) Trouble {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
 	t.running++
 	t.counts.Most = max(t.counts.Most, t.running)
 	t.counts.Starts[name]++
-	return t.trouble, ""
+	return t.trouble
 }
 
+// end gives the slot back.
 func (t *Target) end() {
 	t.mutex.Lock()
-	defer t.mutex.Unlock()
 	t.running--
+	t.mutex.Unlock()
+	t.free <- struct{}{}
 }
 
 // work spends the task's time. A silent target waits until its caller leaves.
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -37,7 +37,8 @@
 	running   int
 	waiting   int
 	wanted    bool      // a peer has work waiting
-	counted   []*target // targets whose slots are shared out
+	ring      []*target // the target of each slot, in the order in which hosts hold them
+	counted   []*target // the same of the slots that are shared out
 	quota     int       // slots of this host
 	level     float64
 	shared    time.Time // when quota was computed
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -280,6 +280,7 @@
 	s.move(equip, "configuration and directory are here")
 	for _, p := range s.pools {
 		slices.SortFunc(p.targets, compareTargets)
+		p.arrangeSlots()
 	}
 	for _, t := range s.targets {
 		s.settle(t)
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -1,10 +1,13 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/shallotrouter/shallotrouter/internal/divider"
 )
 
@@ -18,11 +21,13 @@
 	p.wanted = false
 	for _, t := range p.targets {
 		t.held, t.owed = 0, 0
+	}
+	for _, t := range p.ring {
 		if t.counted() {
 			p.counted = append(p.counted, t)
 		}
 	}
-	slots := s.slots(p)
+	slots := len(p.counted)
 	holders := s.holders(p, slots)
 	for _, h := range holders {
 		slots -= h.Reserve
@@ -76,16 +81,47 @@
 func (s *Scheduler) hold(p *pool, r divider.Range) {
 	if r.Host == s.Host {
 		p.quota = r.Slots()
-		for i, t := range p.counted {
-			t.held = r.Held(i, len(p.counted))
+		for _, t := range p.counted[r.From:r.To] {
+			t.held++
 		}
 		return
 	}
 	uses := s.peers[r.Host].uses
-	for i, t := range p.counted {
-		if over := uses[t.name] - r.Held(i, len(p.counted)); over > 0 {
-			t.owed += over
+	for _, t := range p.targets {
+		t.yielded = 0
+	}
+	for _, t := range p.counted[r.From:r.To] {
+		t.yielded++
+	}
+	for _, t := range p.targets {
+		t.owed += max(0, uses[t.name]-t.yielded)
+	}
+}
+
+// arrangeSlots puts the pool's slots into the order in which hosts hold them.
+// Each target's slots are evenly spaced in it, so that every range has a like
+// part of each target, and a target that goes away moves the others by little.
+func (p *pool) arrangeSlots() {
+	type place struct {
+		target   *target
+		position float64
+	}
+	var places []place
+	for _, t := range p.targets {
+		offset := float64(xxhash.Sum64String(t.name)) / math.MaxUint64
+		for i := range t.slots {
+			places = append(places, place{t, (float64(i) + offset) / float64(t.slots)})
+		}
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		if c := cmp.Compare(a.position, b.position); c != 0 {
+			return c
 		}
+		return strings.Compare(a.target.name, b.target.name)
+	})
+	p.ring = p.ring[:0]
+	for _, x := range places {
+		p.ring = append(p.ring, x.target)
 	}
 }
 
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -23,6 +23,7 @@
 	others    int // the peers' tasks in flight, as last reported
 	held      int // slots in this host's range
 	owed      int // peers' tasks in flight outside of the peers' ranges
+	yielded   int // slots in the range of the peer that is looked at
 	busy      int // refusals in a row
 	full      int // the peers' tasks that the last refusal proves
 	fullUntil time.Time
@@ -63,7 +64,7 @@
 	// target the mean is below 1.
 	usualSurprise = 2
 	// slowDoubt is the doubt of all hosts together that ejects a target.
-	slowDoubt = 12
+	slowDoubt = 16
 	// usualDoubt is how many times the mean doubt about all targets is allowed
 	// to each beside that.
 	usualDoubt = 2
@@ -80,7 +81,7 @@
 	// ejectedPart bounds the part of a pool's targets that may be ejected.
 	ejectedPart = 1.0 / 3
 	// leaveMemory is how long a target's own word that it is leaving holds.
-	leaveMemory = 30 * time.Second
+	leaveMemory = 5 * time.Minute
 	// firstFull and lastFull bound the growing time for which a busy answer
 	// proves that the peers hold the target's other slots.
 	firstFull = 50 * time.Millisecond
