--- /dev/null
+++ b/cmd/shallotrouter/failure_test.go
@@ -0,0 +1,341 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shallotrouter/shallotrouter"
+	"github.com/shallotrouter/shallotrouter/internal/declarer"
+	"github.com/shallotrouter/shallotrouter/internal/faker"
+	"github.com/shallotrouter/shallotrouter/internal/scheduler"
+	"github.com/shallotrouter/shallotrouter/internal/storer"
+)
+
+// load submits jobs in the background and returns a function that waits for
+// their answers.
+func (d *deployment) load(host *process, client string, jobs, tasks int, run, deadline time.Duration) ([]*submission, func()) {
+	var list []*submission
+	runs := make([]time.Duration, tasks)
+	for i := range runs {
+		runs[i] = run
+	}
+	for i := range jobs {
+		list = append(list, &submission{
+			caller: d.client(host, client),
+			job:    newJob(d.ticket(host, client), fmt.Sprint("load", i), deadline, runs...),
+		})
+	}
+	var group sync.WaitGroup
+	for _, s := range list {
+		group.Add(1)
+		go s.run(context.WithoutCancel(d.t.Context()), &group)
+	}
+	return list, group.Wait
+}
+
+// started waits until the targets have started at least so many tasks.
+func (d *deployment) started(n int) {
+	d.t.Helper()
+	d.await(func() bool { return len(d.counts().Starts) >= n })
+}
+
+// ticketNumber tells the starts of a job from the names of the tasks.
+func startsOf(starts map[string]int, host *process, number int) int {
+	n := 0
+	for name := range starts {
+		if strings.HasPrefix(name, host.name+"/") && strings.Contains(name, fmt.Sprintf("/%d/", number)) {
+			n++
+		}
+	}
+	return n
+}
+
+// requireTruth fails the test if a refused job has started or a complete one
+// lacks results. The submissions must be all that the host was given, in order.
+func (d *deployment) requireTruth(host *process, list []*submission) {
+	d.t.Helper()
+	starts := d.counts().Starts
+	for i, s := range list {
+		if s.err != nil {
+			continue
+		}
+		switch s.answer.Outcome {
+		case shallotrouter.Complete:
+			require.Len(d.t, s.answer.Results, len(s.job.Tasks))
+		case shallotrouter.Refused:
+			require.Zero(d.t, startsOf(starts, host, i+1), "job %d was refused: %s", i+1, s.answer.Message)
+		case shallotrouter.Failed, shallotrouter.Lost:
+		default:
+			d.t.Fatalf("job %d has the outcome %q", i+1, s.answer.Outcome)
+		}
+	}
+}
+
+// TestSameTicket sends one ticket to three hosts at once.
+func TestSameTicket(t *testing.T) {
+	d := deploy(t, "", 2, 3, "bogota-norte")
+	job := newJob(d.ticket(d.daemons[0], "comites"), "same", 10*time.Second, 100*time.Millisecond, 50*time.Millisecond)
+	var list []*submission
+	for _, p := range d.daemons {
+		list = append(list, &submission{caller: d.client(p, "comites"), job: job})
+	}
+	submitAll(t.Context(), list)
+	for _, s := range list {
+		require.NoError(t, s.err)
+		assert.Equal(t, shallotrouter.Complete, s.answer.Outcome, s.answer.Message)
+		assert.Equal(t, "same-0", string(s.answer.Results[0]))
+	}
+	assert.Len(t, d.counts().Starts, 2)
+	d.requireOnce()
+}
+
+// TestHostKilled kills an entry host with queued and running tasks, and submits
+// the same tickets to every other host and to the host's successor.
+func TestHostKilled(t *testing.T) {
+	d := deploy(t, "", 1, 3, "bogota-norte")
+	victim := d.daemons[0]
+	list, wait := d.load(victim, "comites", 4, 10, 300*time.Millisecond, 20*time.Second)
+	d.started(3)
+	victim.kill()
+	wait()
+	before := len(d.counts().Starts)
+	for _, p := range d.daemons[1:] {
+		for _, s := range list {
+			a, err := d.client(p, "comites").Submit(t.Context(), s.job)
+			require.NoError(t, err)
+			assert.Equal(t, shallotrouter.Lost, a.Outcome)
+			assert.Equal(t, shallotrouter.Unreachable, a.Reason)
+		}
+	}
+	next := d.daemon(victim.name, victim.zone)
+	d.await(func() bool { return d.status(next).Phase == scheduler.Serving })
+	for _, s := range list {
+		a, err := d.client(next, "comites").Submit(t.Context(), s.job)
+		require.NoError(t, err)
+		assert.Equal(t, shallotrouter.Lost, a.Outcome)
+	}
+	a, err := d.client(next, "comites").Submit(t.Context(), newJob(d.ticket(next, "comites"), "new", 10*time.Second, time.Millisecond))
+	require.NoError(t, err)
+	assert.Equal(t, shallotrouter.Complete, a.Outcome, a.Message)
+	assert.LessOrEqual(t, len(d.counts().Starts), before+8+1) // at most what was in flight
+	d.requireOnce()
+}
+
+// TestTargetKilled kills a target in the middle of its tasks.
+func TestTargetKilled(t *testing.T) {
+	d := deploy(t, "", 2, 1, "bogota-norte")
+	host := d.daemons[0]
+	list, wait := d.load(host, "comites", 6, 2, 400*time.Millisecond, 20*time.Second)
+	d.started(12)
+	d.targets[0].kill()
+	wait()
+	complete, failed := 0, 0
+	for _, s := range list {
+		require.NoError(t, s.err)
+		switch s.answer.Outcome {
+		case shallotrouter.Complete:
+			complete++
+		case shallotrouter.Failed:
+			failed++
+			assert.Equal(t, shallotrouter.Unknown, s.answer.Reason)
+		default:
+			t.Errorf("outcome %s", s.answer.Outcome)
+		}
+	}
+	assert.Positive(t, failed)
+	assert.Equal(t, 6, complete+failed)
+	again, wait := d.load(host, "comites", 5, 3, 10*time.Millisecond, 20*time.Second)
+	wait()
+	for _, s := range again {
+		assert.Equal(t, shallotrouter.Complete, s.answer.Outcome, s.answer.Message)
+	}
+	d.requireOnce()
+}
+
+// TestHostFrozen stops an entry host for longer than its pause bound and its
+// jobs' deadlines, then lets it go on.
+func TestHostFrozen(t *testing.T) {
+	d := deploy(t, "", 1, 2, "bogota-norte")
+	host := d.daemons[0]
+	list, wait := d.load(host, "comites", 12, 4, 200*time.Millisecond, 2500*time.Millisecond)
+	d.started(2)
+	host.signal(t, syscall.SIGSTOP)
+	<-time.After(3 * time.Second) // past the pause bound and the deadlines
+	atThaw := len(d.counts().Starts)
+	host.signal(t, syscall.SIGCONT)
+	wait()
+	d.requireTruth(host, list)
+	assert.Len(t, d.counts().Starts, atThaw, "nothing starts after the thaw")
+	d.await(func() bool { return d.status(host).Phase == scheduler.Serving })
+	d.requireOnce()
+}
+
+// TestShutdown asks a host under load to shut down.
+func TestShutdown(t *testing.T) {
+	d := deploy(t, "", 1, 2, "bogota-norte")
+	host := d.daemons[0]
+	list, wait := d.load(host, "comites", 10, 4, 200*time.Millisecond, 20*time.Second)
+	d.started(2)
+	host.signal(t, syscall.SIGTERM)
+	d.await(func() bool {
+		response, err := http.Get("http://" + host.address + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
+	a, err := d.client(host, "comites").Submit(t.Context(), newJob("", "late", time.Second, time.Millisecond))
+	if err == nil {
+		assert.NotEqual(t, shallotrouter.Complete, a.Outcome)
+	}
+	wait()
+	for _, s := range list {
+		require.NoError(t, s.err)
+		assert.Equal(t, shallotrouter.Complete, s.answer.Outcome, s.answer.Message)
+	}
+	<-host.ended
+	assert.Equal(t, 0, host.command.ProcessState.ExitCode())
+	d.await(func() bool {
+		return len(d.status(d.daemons[1]).Peers) == 0 || d.status(d.daemons[1]).Peers[0].State == scheduler.Quiet
+	})
+	d.requireOnce()
+}
+
+// TestSecondSignal ends a shutdown at once; each open job is answered truthfully.
+func TestSecondSignal(t *testing.T) {
+	d := deploy(t, "", 1, 1, "bogota-norte")
+	host := d.daemons[0]
+	list, wait := d.load(host, "comites", 6, 8, 2*time.Second, 30*time.Second)
+	d.started(8)
+	host.signal(t, syscall.SIGTERM)
+	d.await(func() bool { return strings.Contains(host.log.String(), "draining") })
+	host.signal(t, syscall.SIGTERM)
+	wait()
+	<-host.ended
+	refused := 0
+	for _, s := range list {
+		require.NoError(t, s.err)
+		assert.NotEqual(t, shallotrouter.Complete, s.answer.Outcome)
+		if s.answer.Outcome == shallotrouter.Refused {
+			refused++
+		}
+	}
+	assert.Positive(t, refused)
+	d.requireTruth(host, list)
+	d.requireOnce()
+}
+
+// TestLeaving marks a target as leaving in the platform's list, and lets another
+// tell it by its own word.
+func TestLeaving(t *testing.T) {
+	d := deploy(t, "", 3, 2, "bogota-norte")
+	d.list("bogota-norte", d.targets[0].name)
+	d.put(d.targets[1], "/trouble", faker.Trouble{Leaving: true})
+	<-time.After(3 * time.Second) // the bound for leaving targets
+	_, wait := d.load(d.daemons[0], "comites", 1, 1, time.Millisecond, 10*time.Second)
+	wait()
+	first, second := d.countsOf(d.targets[0]), d.countsOf(d.targets[1])
+	for _, host := range d.daemons {
+		list, wait := d.load(host, "comites", 10, 5, time.Millisecond, 10*time.Second)
+		wait()
+		for _, s := range list {
+			assert.Equal(t, shallotrouter.Complete, s.answer.Outcome, s.answer.Message)
+		}
+	}
+	assert.Len(t, d.countsOf(d.targets[0]).Starts, len(first.Starts))
+	assert.LessOrEqual(t, d.countsOf(d.targets[1]).Left, second.Left+2)
+	d.requireOnce()
+}
+
+// TestOutage takes the platform down, and starts a fresh host meanwhile.
+func TestOutage(t *testing.T) {
+	d := deploy(t, "", 2, 2, "bogota-norte")
+	d.put(d.platform, "/faults", faker.Faults{Outage: true})
+	fresh := d.daemon("bogota-norte-new", "bogota-norte")
+	d.await(func() bool { return d.status(fresh).Phase == scheduler.Serving })
+	list, wait := d.load(fresh, "comites", 5, 3, 10*time.Millisecond, 10*time.Second)
+	wait()
+	for _, s := range list {
+		assert.Equal(t, shallotrouter.Complete, s.answer.Outcome, s.answer.Message)
+	}
+	d.requireOnce()
+}
+
+// TestPresetEverywhere switches presets while the platform is slow and loses
+// answers, and requires the change on all hosts within 3 s and no step back.
+func TestPresetEverywhere(t *testing.T) {
+	d := deploy(t, "", 1, 3, "bogota-norte", "medellin-sur", "cali-oeste")
+	client := storer.NewClient(d.platform.address, 5*time.Second)
+	versions := make(map[string]uint64)
+	for i, preset := range []declarer.Name{declarer.Peak, declarer.Maintenance, declarer.Ordinary, declarer.Peak} {
+		d.put(d.platform, "/faults", faker.Faults{Delay: 200 * time.Millisecond, Stale: 2 * i})
+		record, err := client.Read(t.Context(), storer.Row, 0)
+		require.NoError(t, err)
+		current, err := declarer.Decode(record.Version, record.Value)
+		require.NoError(t, err)
+		row := current.Row
+		row.Preset = preset
+		value, err := row.Encode()
+		require.NoError(t, err)
+		version, err := client.Swap(t.Context(), storer.Row, record.Version, value)
+		for err != nil { // a stale read was used; read again
+			record, err = client.Read(t.Context(), storer.Row, 0)
+			require.NoError(t, err)
+			version, err = client.Swap(t.Context(), storer.Row, record.Version, value)
+		}
+		require.Eventually(t, func() bool {
+			for _, p := range d.daemons {
+				v := d.status(p)
+				if v.Version < versions[p.name] {
+					t.Errorf("%s went back from %d to %d", p.name, versions[p.name], v.Version)
+				}
+				versions[p.name] = v.Version
+				if v.Version != version || v.Preset != string(preset) {
+					return false
+				}
+			}
+			return true
+		}, 3*time.Second, 20*time.Millisecond)
+	}
+}
+
+// TestMaintenance refuses new work as not run, with a time to come back, and
+// finishes what runs.
+func TestMaintenance(t *testing.T) {
+	d := deploy(t, "", 1, 1, "bogota-norte")
+	host := d.daemons[0]
+	running, wait := d.load(host, "comites", 2, 4, 1500*time.Millisecond, 20*time.Second)
+	d.started(8)
+	client := storer.NewClient(d.platform.address, 5*time.Second)
+	record, err := client.Read(t.Context(), storer.Row, 0)
+	require.NoError(t, err)
+	current, err := declarer.Decode(record.Version, record.Value)
+	require.NoError(t, err)
+	row := current.Row
+	row.Preset = declarer.Maintenance
+	value, err := row.Encode()
+	require.NoError(t, err)
+	_, err = client.Swap(t.Context(), storer.Row, record.Version, value)
+	require.NoError(t, err)
+	d.await(func() bool { return d.status(host).Preset == string(declarer.Maintenance) })
+	a, err := d.client(host, "cruzroja").Submit(t.Context(), newJob(d.ticket(host, "cruzroja"), "new", time.Second, time.Millisecond))
+	require.NoError(t, err)
+	assert.Equal(t, shallotrouter.Refused, a.Outcome)
+	assert.Equal(t, shallotrouter.Maintenance, a.Reason)
+	assert.Positive(t, a.After)
+	wait()
+	for _, s := range running {
+		assert.Equal(t, shallotrouter.Complete, s.answer.Outcome)
+	}
+	assert.Len(t, d.counts().Starts, 8)
+}
