scheduler: the last target of a pool is never ejected, and a trial needs no quota

Cause: on a busy machine two connections to a zone's only target timed out; it was ejected, the pool's quota became 0, and the trial that would have restored it needed a slot of the quota.

--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -27,6 +27,7 @@
 		return
 	}
 	p.blocked = false
+	s.try(p)
 	var aside []*flow
 	limit := p.quota
 	for p.active.Len() > 0 {
@@ -50,6 +51,16 @@
 	}
 }
 
+// try gives one task to each target that is due for a trial. A target in trial
+// has no slot in the quota, and may be the only one.
+func (s *Scheduler) try(p *pool) {
+	for _, t := range p.targets {
+		if t.state() == Trial && t.own == 0 && p.active.Len() > 0 {
+			s.start(p.active.Top(), t)
+		}
+	}
+}
+
 // slots returns the slots of the pool's usable targets.
 func (s *Scheduler) slots(p *pool) int {
 	n := 0
@@ -83,19 +94,12 @@
 // targets, so that hosts with old reports do not all choose the same one.
 type Spreader struct{}
 
-// place returns a target in trial if there is one, else the usable target with
-// the fewest of this host's tasks, then the fewest of all.
+// place returns the usable target with a free slot that has the least load.
 func (Spreader) place(s *Scheduler, p *pool) *target {
 	var best *target
 	for i := range p.targets {
 		t := p.targets[(i+s.offset)%len(p.targets)]
-		if !t.usable() {
-			continue
-		}
-		if t.state() == Trial {
-			return t
-		}
-		if t.free(s.now) <= 0 {
+		if !t.usable() || t.free(s.now) <= 0 {
 			continue
 		}
 		if best == nil || t.load() < best.load() {
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -385,3 +385,32 @@
 	assert.NotContains(t, fmt.Sprintf("%+v", surveyed[0]), strings.Repeat("0", 60))
 	assert.Equal(t, 1, surveyed[0].Status.Open)
 }
+
+// TestLastTargetIsTriedAgain requires that a pool whose targets could not be
+// reached for a moment goes on when they can be again.
+func TestLastTargetIsTriedAgain(t *testing.T) {
+	for targets := 1; targets <= 3; targets++ {
+		b := newBench(t, targets)
+		var flying []Start
+		flying = only[Start](b.submit("a", b.ticket(), 8, time.Minute))
+		for range 40 { // for a second nothing is reached
+			for _, s := range flying {
+				flying = append(flying[1:], only[Start](b.end(s, Unsent))...)
+			}
+			flying = append(flying, only[Start](b.pass(b.Bounds.Tick))...)
+		}
+		done := 0
+		for range 2000 {
+			effects := b.pass(b.Bounds.Tick)
+			flying = append(flying, only[Start](effects)...)
+			for _, s := range flying {
+				flying = append(flying[1:], only[Start](b.end(s, Done))...)
+				done++
+			}
+			if done == 8 {
+				break
+			}
+		}
+		assert.Equal(t, 8, done, "%d targets", targets)
+	}
+}
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -97,14 +97,12 @@
 
 func (t *target) state() State { return State(t.machine.Current()) }
 
-// usable reports whether the target may take a new task.
+// usable reports whether the target may take new tasks.
 func (t *target) usable() bool {
 	switch t.state() {
 	case Live:
 		return t.ejector == ""
-	case Trial:
-		return t.own == 0
-	case Departing, Ejected:
+	case Trial, Departing, Ejected:
 	}
 	return false
 }
@@ -224,7 +222,7 @@
 			out++
 		}
 	}
-	return float64(out) <= max(1, ejectedPart*float64(len(p.targets)))
+	return out < len(p.targets) && float64(out) <= max(1, ejectedPart*float64(len(p.targets)))
 }
 
 // review looks at one target's overdue tasks and trial time.
