--- /dev/null
+++ b/internal/reporter/reporter_test.go
@@ -0,0 +1,155 @@
+package reporter
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/shallotrouter/shallotrouter/internal/declarer"
+	"github.com/shallotrouter/shallotrouter/internal/scheduler"
+)
+
+// sink keeps what a reporter hands on.
+type sink chan scheduler.Event
+
+func (s sink) Put(e scheduler.Event) { s <- e }
+
+// newHost returns a reporter that is served on loopback.
+func newHost(t *testing.T, name string) (*Reporter, sink) {
+	s := make(sink, 100)
+	r := &Reporter{
+		Clock: clockwork.NewRealClock(), Log: logr.Discard(), Sink: s, Secret: []byte("a key of the test"),
+		Random: rand.New(rand.NewPCG(1, 1)), Self: Hello{Host: name, Zone: "z", Incarnation: 1},
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+Path, r)
+	web := httptest.NewServer(mux)
+	r.Self.Address = strings.TrimPrefix(web.URL, "http://")
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() { cancel(); web.CloseClientConnections(); web.Close() })
+	r.Run(ctx)
+	return r, s
+}
+
+// next returns the next event.
+func next(t *testing.T, s sink) scheduler.Event {
+	select {
+	case e := <-s:
+		return e
+	case <-time.After(10 * time.Second):
+		t.Fatal("nothing was reported")
+	}
+	return nil
+}
+
+func TestReports(t *testing.T) {
+	a, _ := newHost(t, "a")
+	b, got := newHost(t, "b")
+	report := scheduler.Report{Host: "a", Zone: "z", Config: 1, Demands: []scheduler.Demand{{Service: "s", Client: "c", Running: 2}}}
+	a.Publish(report)
+	a.Dial([]string{b.Self.Address})
+	heard := next(t, got).(scheduler.Hear).Report
+	assert.Equal(t, report.Demands, heard.Demands)
+	assert.Equal(t, uint64(1), heard.Incarnation)
+	report.Demands = nil
+	report.Uses = []scheduler.Use{{Target: "t", Tasks: 1}}
+	a.Publish(report)
+	heard = next(t, got).(scheduler.Hear).Report
+	assert.Empty(t, heard.Demands)
+	assert.Equal(t, report.Uses, heard.Uses)
+}
+
+// TestDocumentsArePassedOn requires that a host with a newer configuration gives
+// it to a peer that dialled it.
+func TestDocumentsArePassedOn(t *testing.T) {
+	a, _ := newHost(t, "a")
+	b, got := newHost(t, "b")
+	raw, err := declarer.Row{Text: "[service s]\n", Preset: declarer.Peak}.Encode()
+	require.NoError(t, err)
+	config, err := declarer.Decode(7, raw)
+	require.NoError(t, err)
+	a.Hold(config, scheduler.Directory{Version: 3, Zone: "z"})
+	a.Publish(scheduler.Report{Host: "a", Zone: "z", Config: 7, Directory: 3})
+	b.Publish(scheduler.Report{Host: "b", Zone: "z"})
+	b.Dial([]string{a.Self.Address})
+	seen := make(map[string]bool)
+	for !seen["config"] || !seen["directory"] {
+		switch e := next(t, got).(type) {
+		case scheduler.Adopt:
+			seen["config"] = e.Config.Version == 7 && e.Config.Row.Preset == declarer.Peak
+		case scheduler.Locate:
+			seen["directory"] = e.Directory.Version == 3
+		}
+	}
+}
+
+func TestWrongKey(t *testing.T) {
+	a, _ := newHost(t, "a")
+	r, err := http.NewRequest(http.MethodGet, "http://"+a.Self.Address+Path, nil)
+	require.NoError(t, err)
+	r.Header.Set("Authorization", Pass([]byte("another key")))
+	response, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
+}
+
+// drawReport draws a report.
+func drawReport(t *rapid.T, name string) scheduler.Report {
+	var r scheduler.Report
+	for _, client := range []string{"a", "b", "c"} {
+		if n := rapid.IntRange(0, 3).Draw(t, name+client); n > 0 {
+			r.Demands = append(r.Demands, scheduler.Demand{Service: "s", Client: client, Running: n})
+		}
+	}
+	for _, target := range []string{"t1", "t2", "t3"} {
+		if n := rapid.IntRange(0, 3).Draw(t, name+target); n > 0 {
+			r.Uses = append(r.Uses, scheduler.Use{Target: target, Tasks: n})
+		}
+	}
+	return r
+}
+
+// TestDeltas requires that a report and the delta to the next one give the next.
+func TestDeltas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, fresh := drawReport(t, "old"), drawReport(t, "new")
+		got := Apply(old, Difference(old, fresh))
+		assert.ElementsMatch(t, fresh.Demands, got.Demands)
+		assert.ElementsMatch(t, fresh.Uses, got.Uses)
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range []Message{
+		{Hello: &Hello{Host: "h"}},
+		{Delta: &Delta{Config: 1}},
+		{Row: &Row{Version: 2, Value: []byte("{}")}},
+		{Directory: &scheduler.Directory{Version: 1}},
+		{},
+	} {
+		data, err := m.Encode()
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := m.Encode()
+		require.NoError(t, err)
+		_, err = Decode(again)
+		require.NoError(t, err)
+	})
+}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -414,3 +414,13 @@
 		assert.Equal(t, 8, done, "%d targets", targets)
 	}
 }
+
+// TestMoreHostsThanSlots requires that hosts share a pool with fewer slots than
+// hosts, and that each gets a slot when it alone wants one.
+func TestMoreHostsThanSlots(t *testing.T) {
+	b := newBench(t, 1)
+	for _, name := range []string{"h0", "h2", "h3", "h4"} {
+		b.step(Hear{Report: Report{Host: name, Zone: "z", Incarnation: 1}})
+	}
+	assert.Len(t, only[Start](append(b.submit("a", b.ticket(), 1, time.Second), b.pass(200*time.Millisecond)...)), 1)
+}
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -29,9 +29,7 @@
 	}
 	slots := len(p.counted)
 	holders := s.holders(p, slots)
-	for _, h := range holders {
-		slots -= h.Reserve
-	}
+	slots -= keepReserves(holders, slots)
 	division := divider.Divide(float64(slots), s.demands)
 	p.level = division.Level
 	s.adopt(p, division)
@@ -55,6 +53,25 @@
 	return holders
 }
 
+// keepReserves returns the sum of the reserves, and drops them all when they
+// would take too great a part of the slots.
+func keepReserves(holders []divider.Holder, slots int) int {
+	sum := 0
+	for _, h := range holders {
+		sum += h.Reserve
+	}
+	if sum <= slots/leastReserved {
+		return sum
+	}
+	for i := range holders {
+		holders[i].Reserve = 0
+	}
+	return 0
+}
+
+// leastReserved is the divisor that bounds the part of the slots in reserves.
+const leastReserved = 4
+
 // demandOf adds what one host reported of the pool's clients, and returns the
 // reserve that it gets.
 func (s *Scheduler) demandOf(p *pool, report Report, reserve int) int {
