--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -41,8 +41,8 @@
 	counted   []*target // the same of the slots that are shared out
 	quota     int       // slots of this host
 	level     float64
-	shared    time.Time // when quota was computed
-	blocked   bool      // work waits because the quota is used up
+	outdated  bool // what share divides has changed
+	blocked   bool // work waits because the quota is used up
 	estimates estimator.Estimator
 	tokens    float64   // retry budget
 	paused    time.Time // nothing is placed before, the budget being used up
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -15,7 +15,7 @@
 // what this host has published, not what it knows of itself, so that every host
 // of the zone divides the same figures.
 func (s *Scheduler) share(p *pool) {
-	p.shared = s.now
+	p.outdated = false
 	s.demands = s.demands[:0]
 	p.counted = p.counted[:0]
 	p.wanted = false
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -15,6 +15,7 @@
 	address   string
 	pool      *pool
 	machine   *fsm.FSM
+	current   State
 	listed    bool      // the directory says that it is leaving
 	told      time.Time // its own word that it is leaving holds until then
 	warned    bool      // a peer says first-hand that it is leaving
@@ -91,11 +92,12 @@
 func newTarget(name string, p *pool) *target {
 	return &target{
 		name: name, pool: p, slots: p.service.Slots, ratio: 1,
-		machine: transitioner.Build(Live, targetRules...),
+		machine: transitioner.Build(Live, targetRules...), current: Live,
 	}
 }
 
-func (t *target) state() State { return State(t.machine.Current()) }
+// state returns the state of the machine, which takes a lock to be asked.
+func (t *target) state() State { return t.current }
 
 // usable reports whether the target may take new tasks.
 func (t *target) usable() bool {
@@ -137,6 +139,8 @@
 		s.violate("target life cycle", "%s of %s: %v", event, t.name, err)
 		return
 	}
+	t.current = State(t.machine.Current())
+	t.pool.outdated = true
 	s.urgent = true
 	s.emit(Decide{Action: Mark, Target: t.name, Outcome: "", Reason: string(event) + " " + reason})
 }
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -29,7 +29,9 @@
 		for _, t := range p.targets {
 			s.review(t)
 		}
-		s.share(p)
+		if p.outdated {
+			s.share(p)
+		}
 		s.dispatch(p)
 		s.tidy(p)
 	}
@@ -101,6 +103,9 @@
 	s.published = s.now
 	s.urgent = false
 	s.sent = s.report()
+	for _, p := range s.pools {
+		p.outdated = true
+	}
 	s.emit(Publish{Report: s.sent})
 }
 
