--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -94,8 +94,7 @@
 	joined time.Time // when it last came to reach the others
 
 	held    []scheduler.Event // what came while the host was frozen
-	sent    []scheduler.Report
-	last    scheduler.Report
+	packer  reporter.Packer
 	version uint64 // of the configuration, when last checked
 }
 
@@ -286,12 +285,11 @@
 
 // publish brings a report to the peers of the zone, and counts it.
 func (w *World) publish(n *Node, report scheduler.Report) {
-	delta := reporter.Difference(n.last, report)
+	delta := n.packer.Pack(report)
 	data, err := reporter.Message{Delta: &delta}.Encode()
 	if err != nil {
 		panic(err)
 	}
-	n.last = report
 	for _, peer := range w.Nodes {
 		if peer == n || peer.Zone != n.Zone || peer.Dead || n.Cut || peer.Cut {
 			continue
@@ -461,8 +459,12 @@
 // Everyone is the client that all are merged into.
 const Everyone = "everyone"
 
-// Resubmit submits a job under the ticket that it already has.
+// Resubmit submits a job under the ticket that it already has. After a refusal it
+// is a new request, which may run if the ticket is still unused.
 func (w *World) Resubmit(sub *Submission) {
+	if sub.Answer != nil && sub.Answer.Outcome == shallotrouter.Refused {
+		sub.Answer = nil
+	}
 	w.request++
 	w.asked[w.request|requestBit] = sub
 	w.Deliver(sub.Node, scheduler.Submit{Request: w.request, Client: w.name(sub.Client), Number: sub.Number, Job: sub.Job})
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -115,7 +115,7 @@
 		{"too long", func(c net.Conn, r *http.Request, _ int64) bool {
 			return reply(c, "200 OK", label(r), strings.Repeat("x", 101))
 		}, scheduler.Wrong},
-		{"another task's", func(c net.Conn, r *http.Request, _ int64) bool {
+		{"another task's", func(c net.Conn, _ *http.Request, _ int64) bool {
 			return reply(c, "200 OK", HeaderTask+": other\r\n", "x")
 		}, scheduler.Lost},
 		{"truncated", func(c net.Conn, r *http.Request, _ int64) bool {
--- a/internal/reporter/message.go
+++ b/internal/reporter/message.go
@@ -34,13 +34,33 @@
 	Incarnation uint64 `cbor:"4,keyasint"`
 }
 
-// Delta is what changed in a report since the last one on the connection.
+// Delta is what changed in a report since the last one on the connection. Names
+// are sent once on a connection; entries refer to them by their place.
 type Delta struct {
-	Config    uint64             `cbor:"1,keyasint"`
-	Directory uint64             `cbor:"2,keyasint"`
-	Leaving   bool               `cbor:"3,keyasint,omitempty"`
-	Demands   []scheduler.Demand `cbor:"4,keyasint,omitempty"`
-	Uses      []scheduler.Use    `cbor:"5,keyasint,omitempty"`
+	Config    uint64   `cbor:"1,keyasint"`
+	Directory uint64   `cbor:"2,keyasint"`
+	Leaving   bool     `cbor:"3,keyasint,omitempty"`
+	Names     []string `cbor:"4,keyasint,omitempty"`
+	Demands   []Demand `cbor:"5,keyasint,omitempty"`
+	Uses      []Use    `cbor:"6,keyasint,omitempty"`
+}
+
+// Demand is a scheduler.Demand with places of names.
+type Demand struct {
+	_       struct{} `cbor:",toarray"`
+	Service int
+	Client  int
+	Running int
+	Waiting int
+}
+
+// Use is a scheduler.Use with the place of the target's name.
+type Use struct {
+	_      struct{} `cbor:",toarray"`
+	Target int
+	Tasks  int
+	State  scheduler.State
+	Doubt  int
 }
 
 // Row is a configuration as the platform stores it.
@@ -73,24 +93,6 @@
 	return m, nil
 }
 
-// Difference returns the delta that turns the old report into the new one. Far
-// peers get no demands and uses, since they share no targets.
-func Difference(old, report scheduler.Report) Delta {
-	return Delta{
-		Config: report.Config, Directory: report.Directory, Leaving: report.Leaving,
-		Demands: differ(old.Demands, report.Demands, demandKey, clearDemand),
-		Uses:    differ(old.Uses, report.Uses, useKey, clearUse),
-	}
-}
-
-// Apply returns the report after the delta.
-func Apply(report scheduler.Report, d Delta) scheduler.Report {
-	report.Config, report.Directory, report.Leaving = d.Config, d.Directory, d.Leaving
-	report.Demands = merge(report.Demands, d.Demands, demandKey, func(x scheduler.Demand) bool { return x == clearDemand(x) })
-	report.Uses = merge(report.Uses, d.Uses, useKey, func(x scheduler.Use) bool { return x == clearUse(x) })
-	return report
-}
-
 // key identifies an entry of a report.
 type key struct{ first, second string }
 
--- a/internal/reporter/receiver.go
+++ b/internal/reporter/receiver.go
@@ -27,17 +27,17 @@
 	socket.SetReadLimit(maxMessage)
 	v := &receiver{reporter: r, socket: socket}
 	err = v.receive(request.Context())
-	if v.report.Host != "" {
-		r.leave(v.report.Address)
+	if v.unpacker.Report.Host != "" {
+		r.leave(v.unpacker.Report.Address)
 	}
-	r.Log.V(1).Info("peer connection ended", "peer", v.report.Host, "error", errorText(err))
+	r.Log.V(1).Info("peer connection ended", "peer", v.unpacker.Report.Host, "error", errorText(err))
 }
 
 // receiver reads what one peer sends.
 type receiver struct {
 	reporter *Reporter
 	socket   *websocket.Conn
-	report   scheduler.Report
+	unpacker Unpacker
 }
 
 // receive reads messages until one cannot be read.
@@ -61,16 +61,19 @@
 func (v *receiver) take(m Message) error {
 	r := v.reporter
 	switch {
-	case m.Hello != nil && v.report.Host == "":
+	case m.Hello != nil && v.unpacker.Report.Host == "":
 		h := m.Hello
 		r.enter(h.Address)
-		v.report = scheduler.Report{Host: h.Host, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation}
-	case m.Hello != nil || v.report.Host == "":
+		v.unpacker.Report = scheduler.Report{Host: h.Host, Zone: h.Zone, Address: h.Address, Incarnation: h.Incarnation}
+	case m.Hello != nil || v.unpacker.Report.Host == "":
 		return shallotrouter.Errorf(shallotrouter.Malformed, "a peer did not say hello first and once; run the same version on all hosts")
 	case m.Delta != nil:
-		v.report = Apply(v.report, *m.Delta)
-		r.learn(v.report.Address, peerVersions{v.report.Config, v.report.Directory})
-		r.Sink.Put(scheduler.Hear{Report: v.report})
+		if err := v.unpacker.Unpack(*m.Delta); err != nil {
+			return err
+		}
+		report := v.unpacker.Report
+		r.learn(report.Address, peerVersions{report.Config, report.Directory})
+		r.Sink.Put(scheduler.Hear{Report: report})
 	case m.Row != nil:
 		config, err := declarer.Decode(m.Row.Version, m.Row.Value)
 		if err != nil {
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -68,6 +68,7 @@
 	behind    map[string]*peerVersions
 	wanted    []string       // addresses that Dial set
 	inbound   map[string]int // connections from each peer address
+	budget    budget
 }
 
 // peerVersions is what a peer last said that it holds.
@@ -186,8 +187,9 @@
 
 	socket *websocket.Conn
 	near   bool
-	sent   scheduler.Report
+	packer Packer
 	at     time.Time
+	config uint64 // version in the last report
 	gave   peerVersions
 }
 
@@ -245,7 +247,7 @@
 	}
 	l.socket = socket
 	l.near = response.Header.Get(headerZone) == r.Self.Zone
-	l.sent, l.at, l.gave = scheduler.Report{}, time.Time{}, peerVersions{}
+	l.packer, l.at, l.config, l.gave = Packer{}, time.Time{}, 0, peerVersions{}
 	self := r.Self
 	return l.write(ctx, Message{Hello: &self})
 }
@@ -262,6 +264,26 @@
 			return ctx.Err()
 		case <-l.wake:
 		}
+		if err := l.await(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// await waits until the budget allows the next message. The report that is sent
+// after that is the newest.
+func (l *link) await(ctx context.Context) error {
+	wait := l.reporter.budget.wait(l.reporter.Clock.Now())
+	if wait <= 0 {
+		return nil
+	}
+	timer := l.reporter.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.Chan():
+		return nil
 	}
 }
 
@@ -283,16 +305,18 @@
 	return l.sendReport(ctx, report)
 }
 
+// sendReport writes the report's delta. Peers in other zones get no demands and
+// uses, since they share no targets.
 func (l *link) sendReport(ctx context.Context, report scheduler.Report) error {
 	now := l.reporter.Clock.Now()
-	if report.Host == "" || (!l.near && now.Sub(l.at) < farPeriod && report.Config == l.sent.Config) {
+	if report.Host == "" || (!l.near && now.Sub(l.at) < farPeriod && report.Config == l.config) {
 		return nil
 	}
 	if !l.near {
 		report.Demands, report.Uses = nil, nil
 	}
-	delta := Difference(l.sent, report)
-	l.sent, l.at = report, now
+	delta := l.packer.Pack(report)
+	l.at, l.config = now, report.Config
 	return l.write(ctx, Message{Delta: &delta})
 }
 
@@ -306,5 +330,6 @@
 	if l.reporter.Observe != nil {
 		l.reporter.Observe(len(data))
 	}
+	l.reporter.budget.spend(l.reporter.Clock.Now(), len(data))
 	return l.socket.Write(ctx, websocket.MessageBinary, data)
 }
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -124,9 +125,13 @@
 func TestDeltas(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		old, fresh := drawReport(t, "old"), drawReport(t, "new")
-		got := Apply(old, Difference(old, fresh))
-		assert.ElementsMatch(t, fresh.Demands, got.Demands)
-		assert.ElementsMatch(t, fresh.Uses, got.Uses)
+		var p Packer
+		var u Unpacker
+		for _, r := range []scheduler.Report{old, fresh} {
+			require.NoError(t, u.Unpack(p.Pack(r)))
+		}
+		assert.ElementsMatch(t, fresh.Demands, u.Report.Demands)
+		assert.ElementsMatch(t, fresh.Uses, u.Report.Uses)
 	})
 }
 
@@ -153,3 +158,55 @@
 		require.NoError(t, err)
 	})
 }
+
+// sizedReport makes a report of so many clients and targets, all in use.
+func sizedReport(clients, targets, shift int) scheduler.Report {
+	r := scheduler.Report{Host: "bogota-norte-h1", Zone: "bogota-norte", Config: 900, Directory: 900}
+	for i := range clients {
+		r.Demands = append(r.Demands, scheduler.Demand{Service: "despacho", Client: fmt.Sprintf("client-%03d", i), Running: 3 + shift*(i%2), Waiting: i})
+	}
+	for i := range targets {
+		r.Uses = append(r.Uses, scheduler.Use{Target: fmt.Sprintf("bogota-norte-t%02d", i), Tasks: 2 + shift*(i%2)})
+	}
+	return r
+}
+
+// BenchmarkDelta measures a whole report and one in which half of the entries
+// have changed.
+func BenchmarkDelta(b *testing.B) {
+	for _, size := range []struct{ clients, targets int }{{3, 17}, {10, 17}, {150, 86}} {
+		b.Run(fmt.Sprintf("clients=%d/targets=%d", size.clients, size.targets), func(b *testing.B) {
+			old, fresh := sizedReport(size.clients, size.targets, 0), sizedReport(size.clients, size.targets, 1)
+			b.ReportAllocs()
+			var p Packer
+			b.ReportMetric(sizeOf(b, &p, fresh), "B/whole")
+			half := 0.0
+			for b.Loop() {
+				p.Pack(old)
+				half = sizeOf(b, &p, fresh)
+			}
+			b.ReportMetric(half, "B/half")
+		})
+	}
+}
+
+// sizeOf returns the size of the next report on a connection.
+func sizeOf(b *testing.B, p *Packer, r scheduler.Report) float64 {
+	d := p.Pack(r)
+	data, err := Message{Delta: &d}.Encode()
+	require.NoError(b, err)
+	return float64(len(data))
+}
+
+// TestBudget requires that the bytes sent stay within the budget over time.
+func TestBudget(t *testing.T) {
+	var b budget
+	now := time.Unix(1000, 0)
+	start, sent := now, 0
+	for range 1000 {
+		b.spend(now, 3000)
+		sent += 3000
+		now = now.Add(max(b.wait(now), time.Millisecond))
+	}
+	assert.LessOrEqual(t, float64(sent), now.Sub(start).Seconds()*byteRate+byteBurst+3000)
+}
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -74,7 +74,7 @@
 	// trialSurprise is the most that a task of a passed trial may surprise.
 	trialSurprise = 3
 	// firstTrial and lastTrial bound the growing interval between trials.
-	firstTrial = 5 * time.Second
+	firstTrial = 10 * time.Second
 	lastTrial  = 5 * time.Minute
 	// unsentTrial is the first interval for a target that cannot be reached,
 	// whose trial costs no job.
--- a/internal/ticketer/ticket_test.go
+++ b/internal/ticketer/ticket_test.go
@@ -29,59 +29,68 @@
 	}
 }
 
-// TestLedger compares the ledger with a map of every number.
+// model is a map of every number beside a ledger.
+type model struct {
+	ledger  *Ledger
+	now     time.Time
+	given   map[uint64]time.Time
+	used    map[uint64]bool
+	highest uint64
+}
+
+func (m *model) give(t *rapid.T) {
+	n := rapid.IntRange(1, 20).Draw(t, "count")
+	first := m.ledger.Give(m.now, n)
+	if first != m.highest+1 {
+		t.Fatalf("first is %d after %d", first, m.highest)
+	}
+	for i := range uint64(n) {
+		m.given[first+i] = m.now
+	}
+	m.highest += uint64(n)
+}
+
+func (m *model) take(t *rapid.T) {
+	n := rapid.Uint64Range(1, m.highest+2).Draw(t, "number")
+	took, given := m.ledger.Take(n), m.given[n]
+	if took && (m.used[n] || given.IsZero()) {
+		t.Fatalf("%d is taken twice or was never given", n)
+	}
+	if !took && !m.used[n] && !given.IsZero() && m.now.Sub(given) < m.ledger.Life {
+		t.Fatalf("%d is good and was not taken", n)
+	}
+	m.used[n] = m.used[n] || took
+}
+
+func (m *model) giveBack(t *rapid.T) {
+	n := rapid.Uint64Range(1, m.highest+2).Draw(t, "number")
+	if m.ledger.Take(n) {
+		m.ledger.Return(n)
+	}
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
+	m.ledger.Expire(m.now)
+}
+
+func (m *model) check(t *rapid.T) {
+	for n, at := range m.given {
+		use := m.ledger.Look(n)
+		if m.used[n] && use != Used && use != Gone {
+			t.Fatalf("%d was used and is %s", n, use)
+		}
+		if !m.used[n] && use == Fresh && m.now.Sub(at) > m.ledger.Life+m.ledger.Life/8 {
+			t.Fatalf("%d is past its life and fresh", n)
+		}
+	}
+}
+
+// TestLedger compares the ledger with the model.
 func TestLedger(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := &Ledger{Life: time.Minute}
-		now := start
-		given := make(map[uint64]time.Time)
-		used := make(map[uint64]bool)
-		highest := uint64(0)
-		t.Repeat(map[string]func(*rapid.T){
-			"give": func(t *rapid.T) {
-				n := rapid.IntRange(1, 20).Draw(t, "count")
-				first := l.Give(now, n)
-				if first != highest+1 {
-					t.Fatalf("first is %d after %d", first, highest)
-				}
-				for i := range uint64(n) {
-					given[first+i] = now
-				}
-				highest += uint64(n)
-			},
-			"take": func(t *rapid.T) {
-				n := rapid.Uint64Range(1, highest+2).Draw(t, "number")
-				took := l.Take(n)
-				if took && (used[n] || given[n].IsZero()) {
-					t.Fatalf("%d is taken twice or was never given", n)
-				}
-				if !took && !used[n] && !given[n].IsZero() && now.Sub(given[n]) < l.Life {
-					t.Fatalf("%d is good and was not taken", n)
-				}
-				used[n] = used[n] || took
-			},
-			"return": func(t *rapid.T) {
-				n := rapid.Uint64Range(1, highest+2).Draw(t, "number")
-				if l.Take(n) {
-					l.Return(n)
-				}
-			},
-			"pass": func(t *rapid.T) {
-				now = now.Add(time.Duration(rapid.IntRange(1, 40).Draw(t, "seconds")) * time.Second)
-				l.Expire(now)
-			},
-			"": func(t *rapid.T) {
-				for n, at := range given {
-					use := l.Look(n)
-					if used[n] && use != Used && use != Gone {
-						t.Fatalf("%d was used and is %s", n, use)
-					}
-					if !used[n] && use == Fresh && now.Sub(at) > l.Life+l.Life/8 {
-						t.Fatalf("%d is past its life and fresh", n)
-					}
-				}
-			},
-		})
+		m := &model{ledger: &Ledger{Life: time.Minute}, now: start, given: make(map[uint64]time.Time), used: make(map[uint64]bool)}
+		t.Repeat(map[string]func(*rapid.T){"give": m.give, "take": m.take, "return": m.giveBack, "pass": m.pass, "": m.check})
 	})
 }
 
--- /dev/null
+++ b/internal/transitioner/machine_test.go
@@ -0,0 +1,56 @@
+package transitioner
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+var rules = []Rule[string, string]{
+	{Event: "send", Source: []string{"queued"}, Target: "sent"},
+	{Event: "return", Source: []string{"sent"}, Target: "queued"},
+	{Event: "finish", Source: []string{"sent", "done"}, Target: "done"},
+}
+
+func TestMachine(t *testing.T) {
+	m := Compile("queued", rules...)
+	next, ok := m.Next("queued", "send")
+	assert.True(t, ok)
+	assert.Equal(t, "sent", next)
+	next, ok = m.Next("done", "finish")
+	assert.True(t, ok)
+	assert.Equal(t, "done", next)
+	_, ok = m.Next("queued", "finish")
+	assert.False(t, ok)
+}
+
+// BenchmarkMachine compares a shared table with a live machine, one made for
+// each task and one shared.
+func BenchmarkMachine(b *testing.B) {
+	b.Run("table", func(b *testing.B) {
+		m := Compile("queued", rules...)
+		b.ReportAllocs()
+		for b.Loop() {
+			state, _ := m.Next("queued", "send")
+			_, _ = m.Next(state, "finish")
+		}
+	})
+	b.Run("shared", func(b *testing.B) {
+		m := Build("queued", rules...)
+		b.ReportAllocs()
+		for b.Loop() {
+			m.SetState("queued")
+			_ = m.Event(context.Background(), "send")
+			_ = m.Event(context.Background(), "finish")
+		}
+	})
+	b.Run("own", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			m := Build("queued", rules...)
+			_ = m.Event(context.Background(), "send")
+			_ = m.Event(context.Background(), "finish")
+		}
+	})
+}
