--- a/internal/stager/stage.go
+++ b/internal/stager/stage.go
@@ -36,6 +36,8 @@
 	// Clients are the names of the declared clients. Each one's token is its
 	// name followed by "-token".
 	Clients []string
+	// Order is a further line of the service's declaration, if any.
+	Order string
 	// Extra is appended to the declarations.
 	Extra string
 	// Settings is appended to the daemons' settings.
@@ -192,7 +194,7 @@
 // Declarations returns the stage's declarations as INI text.
 func (s *Stage) Declarations() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "[service %s]\nslots = %d\n", Service, s.Slots)
+	fmt.Fprintf(&b, "[service %s]\nslots = %d\n%s\n", Service, s.Slots, s.Order)
 	for _, name := range s.Clients {
 		fmt.Fprintf(&b, "[client %s]\ntoken = sha256:%s\n", name, declarer.HashToken(name+"-token"))
 	}
