scheduler: a peer's word that a target is leaving outlasts the peer

The word now holds for 5 minutes after it was last said. TestWarningOutlastsPeer fails before and passes after.

--- a/internal/scheduler/peer.go
+++ b/internal/scheduler/peer.go
@@ -81,7 +81,7 @@
 // slots anew.
 func (s *Scheduler) combine() {
 	for _, t := range s.targets {
-		t.others, t.doubted, t.warned, t.ejector = 0, 0, false, ""
+		t.others, t.doubted, t.ejector = 0, 0, ""
 	}
 	for _, r := range s.peers {
 		if !r.present() {
@@ -89,7 +89,7 @@
 		}
 		for _, u := range r.report.Uses {
 			if t := s.targets[u.Target]; t != nil {
-				t.merge(r.report.Host, u)
+				t.merge(r.report.Host, u, s.now)
 			}
 		}
 	}
@@ -107,12 +107,12 @@
 }
 
 // merge adds one peer's word of the target.
-func (t *target) merge(host string, u Use) {
+func (t *target) merge(host string, u Use, now time.Time) {
 	t.others += u.Tasks
 	t.doubted += float64(u.Doubt * doubtStep)
 	switch u.State {
 	case Departing:
-		t.warned = true
+		t.warned = now.Add(leaveMemory)
 	case Ejected, Trial:
 		if t.ejector == "" || host < t.ejector {
 			t.ejector = host
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -303,9 +303,22 @@
 	}
 	told.Uses = nil
 	b.step(Hear{Report: told})
+	assert.Equal(t, Departing, b.targets["t0"].state())
+	b.pass(leaveMemory + time.Second)
 	assert.Equal(t, Live, b.targets["t0"].state())
 }
 
+// TestWarningOutlastsPeer requires that a peer's word holds when the peer goes
+// quiet or starts anew.
+func TestWarningOutlastsPeer(t *testing.T) {
+	b := newBench(t, 2)
+	b.step(Hear{Report: Report{Host: "h2", Zone: "z", Incarnation: 1, Uses: []Use{{Target: "t0", State: Departing}}}})
+	b.pass(b.Bounds.Quiet + time.Second)
+	assert.Equal(t, Departing, b.targets["t0"].state(), "quiet")
+	b.step(Hear{Report: Report{Host: "h2", Zone: "z", Incarnation: 2}})
+	assert.Equal(t, Departing, b.targets["t0"].state(), "started anew")
+}
+
 // TestConfigurationNeverGoesBack offers versions out of order.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	b := newBench(t, 1)
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -18,7 +18,7 @@
 	current   State
 	listed    bool      // the directory says that it is leaving
 	told      time.Time // its own word that it is leaving holds until then
-	warned    bool      // a peer says first-hand that it is leaving
+	warned    time.Time // a peer's first-hand word that it is leaving holds until then
 	slots     int
 	own       int // this host's tasks in flight
 	others    int // the peers' tasks in flight, as last reported
@@ -81,7 +81,8 @@
 	unsentTrial = time.Second
 	// ejectedPart bounds the part of a pool's targets that may be ejected.
 	ejectedPart = 1.0 / 3
-	// leaveMemory is how long a target's own word that it is leaving holds.
+	// leaveMemory is how long the word that a target is leaving holds, its own or
+	// a peer's. It outlasts the peer.
 	leaveMemory = 5 * time.Minute
 	// firstFull and lastFull bound the growing time for which a busy answer
 	// proves that the peers hold the target's other slots.
@@ -147,7 +148,7 @@
 
 // settle moves a target into or out of Departing by all that was told of it.
 func (s *Scheduler) settle(t *target) {
-	leaving := t.listed || t.warned || s.now.Before(t.told) || s.config.Targets.Has(t.name)
+	leaving := t.listed || s.now.Before(t.warned) || s.now.Before(t.told) || s.config.Targets.Has(t.name)
 	if leaving && t.state() != Departing {
 		s.shift(t, targetLeave, "told to leave")
 		s.emit(Retire{Target: t.name})
