--- a/examples/standin/main.go
+++ b/examples/standin/main.go
@@ -3,6 +3,7 @@
 //	standin platform -listen 127.0.0.1:7000 -declarations FILE -preset ordinary
 //	standin target -listen 127.0.0.1:7201 -slots 8
 //	standin hosts -platform 127.0.0.1:7000 -zone Z -service S -targets A,B -entries C
+//	standin load -hosts http://127.0.0.1:7100 -submitters 8 -tasks 20 -run 100ms -length 10s
 package main
 
 import (
@@ -21,7 +22,7 @@
 	"github.com/shallotrouter/shallotrouter/internal/storer"
 )
 
-const usage = "usage: standin platform|target|hosts [flags]; -h after the word lists the flags"
+const usage = "usage: standin platform|target|hosts|load [flags]; -h after the word lists the flags"
 
 // headerTimeout bounds the reading of a request's header.
 const headerTimeout = 5 * time.Second
@@ -46,6 +47,8 @@
 		return target(args)
 	case "hosts":
 		return hosts(args)
+	case "load":
+		return load(args)
 	}
 	return fmt.Errorf("unknown stand-in %q; %s", word, usage)
 }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -95,10 +95,10 @@
 	}
 }
 
-// period returns the time to the next poll, with jitter of a quarter.
+// period returns the time to the next poll, with jitter of an eighth either way.
 func (f *Follower) period() time.Duration {
 	period := min(f.Every*time.Duration(max(f.hosts.Load(), 1)), f.Slowest)
-	return period - time.Duration(f.Random.Int64N(int64(period)/4+1))
+	return period - period/8 + time.Duration(f.Random.Int64N(int64(period)/4+1))
 }
 
 // poll reads the row and the directory and reports whether either failed.
