--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -186,7 +186,7 @@
 		Host: name, Zone: zone, Address: name, Bounds: w.Bounds, Incarnation: uint64(w.now.UnixNano()),
 	}
 	if w.Scatter {
-		n.Scheduler.Placer = scheduler.Scatter{Random: w.Random}
+		n.Scheduler.Placer = scheduler.Scatter{Random: rand.New(rand.NewPCG(uint64(len(w.Nodes)), 1))}
 	}
 	w.Nodes = append(w.Nodes, n)
 	w.Deliver(n, scheduler.Adopt{Config: w.Config})
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -78,7 +78,7 @@
 const (
 	// releaseSlots is the number of unused slots that a host gives back to
 	// backlogged peers without waiting for its period.
-	releaseSlots = 3
+	releaseSlots = 5
 	// askGrowth is the growth of demand that a host tells without waiting for
 	// its period.
 	askGrowth = 1.25
