--- a/examples/loopback/main.go
+++ b/examples/loopback/main.go
@@ -72,9 +72,9 @@
 	var group sync.WaitGroup
 	p := &player{stage: s, group: &group, random: rand.New(rand.NewPCG(1, 2))}
 	if c.flood != "" {
-		p.spawn(ctx, c.flood, "flood", 50, 100, 50*time.Millisecond, time.Second, 400*time.Millisecond)
+		p.spawn(ctx, source{client: c.flood, label: "flood", least: 50, most: 100, gap: 400 * time.Millisecond})
 	}
-	p.spawn(ctx, c.small, "small", 1, 4, 50*time.Millisecond, time.Second, 60*time.Millisecond)
+	p.spawn(ctx, source{client: c.small, label: "small", least: 1, most: 4, gap: 60 * time.Millisecond})
 	group.Wait()
 	slices.Sort(p.slowdowns)
 	twice := 0
@@ -104,22 +104,28 @@
 	slowdowns []float64
 }
 
-// spawn submits jobs of least to most tasks at a mean gap until the context ends.
-func (p *player) spawn(ctx context.Context, client, label string, least, most int, short, long, gap time.Duration) {
+// spawn submits the source's jobs until the context ends.
+func (p *player) spawn(ctx context.Context, s source) {
+	s.player = p
 	p.group.Add(1)
-	go (&source{player: p, client: client, label: label, least: least, most: most, short: short, long: long, gap: gap}).run(ctx)
+	go s.run(ctx)
 }
 
-// source is one stream of jobs.
+// source is one stream of jobs of least to most tasks at a mean gap.
 type source struct {
 	player      *player
 	client      string
 	label       string
 	least, most int
-	short, long time.Duration
 	gap         time.Duration
 }
 
+// shortest and longest bound the run times.
+const (
+	shortest = 50 * time.Millisecond
+	longest  = time.Second
+)
+
 func (s *source) run(ctx context.Context) {
 	defer s.player.group.Done()
 	for ctx.Err() == nil {
@@ -138,7 +144,7 @@
 	defer p.mutex.Unlock()
 	pause = time.Duration(p.random.ExpFloat64() * float64(s.gap))
 	for range s.least + p.random.IntN(s.most-s.least+1) {
-		runs = append(runs, s.short+time.Duration(p.random.Int64N(int64(s.long-s.short))))
+		runs = append(runs, shortest+time.Duration(p.random.Int64N(int64(longest-shortest))))
 	}
 	return pause, runs, p.random.IntN(len(p.stage.Nodes))
 }
--- a/examples/policies/main.go
+++ b/examples/policies/main.go
@@ -14,7 +14,7 @@
 
 func main() {
 	length := flag.Duration("length", time.Minute, "the virtual time to measure")
-	only := flag.String("place", "", "measure only this place")
+	only := flag.String("place", "", "measure only this place: restrepo, kutchwala or planned")
 	policy := flag.String("policy", "", "measure only this policy")
 	seed := flag.Uint64("seed", 1, "the seed of all chance")
 	flag.Parse()
@@ -24,7 +24,10 @@
 		name    string
 		place   bencher.Place
 		clients int
-	}{{"restrepo", bencher.Restrepo(), 4}, {"kutchwala", bencher.Kutchwala(), 10}} {
+	}{{"restrepo", bencher.Restrepo(), 4}, {"kutchwala", bencher.Kutchwala(), 10}, {"planned", bencher.Planned(), bencher.PlannedClients}} {
+		if place.name == "planned" && *only != place.name {
+			continue // it takes long, so it is measured only when it is named
+		}
 		for _, v := range bencher.Variants() {
 			if *only != "" && *only != place.name || *policy != "" && *policy != v.Name {
 				continue
--- a/internal/bencher/scenario.go
+++ b/internal/bencher/scenario.go
@@ -35,6 +35,20 @@
 	return p
 }
 
+// PlannedClients is the number of clients of Planned.
+const PlannedClients = 150
+
+// Planned returns one zone of the size that is planned for: 86 targets and 150
+// clients. Its early reports are as far apart as the budget of bytes allows at
+// that size.
+func Planned() Place {
+	p := Restrepo()
+	p.Zones, p.Targets = 1, 86
+	p.Text = declarations(PlannedClients, "")
+	p.Bounds.Hurry = 350 * time.Millisecond
+	return p
+}
+
 // clientName returns the name of the i-th client.
 func clientName(i int) string { return fmt.Sprintf("c%02d", i) }
 
--- a/internal/reporter/budget.go
+++ b/internal/reporter/budget.go
@@ -10,7 +10,7 @@
 const (
 	// byteRate bounds the bytes a second that a host sends to its peers, over
 	// all links. It leaves a part of the 6 KB/s of control traffic to polls.
-	byteRate = 5000
+	byteRate = 4500
 	// byteBurst is what may be sent at once after a quiet time.
 	byteBurst = 10_000
 )
