--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -219,3 +220,33 @@
 type drain struct{ conn net.Conn }
 
 func (d *drain) run() { _, _ = io.Copy(io.Discard, d.conn) }
+
+// TestTrust requires that a connection that has been idle for longer than its
+// trust, or was retired, takes no further task.
+func TestTrust(t *testing.T) {
+	var connections sync.Map
+	p := newScript(t, func(c net.Conn, r *http.Request, _ int64) bool {
+		connections.Store(c, true)
+		return reply(c, "200 OK", label(r), "")
+	})
+	s := make(sink, 1)
+	d := newDispatcher(s)
+	count := func() (n int) {
+		connections.Range(func(any, any) bool { n++; return true })
+		return n
+	}
+	trust := 200 * time.Millisecond
+	run := func(number uint64) {
+		now := time.Now()
+		d.Send(scheduler.Start{Number: number, Target: "t", Address: p.listener.Addr().String(), By: now.Add(time.Second), Until: now.Add(time.Second)},
+			Limits{Connections: 4, Trust: trust})
+		require.Equal(t, scheduler.Done, (<-s).(scheduler.Finish).Result)
+	}
+	run(1)
+	<-time.After(trust + trust/2)
+	run(2)
+	assert.Equal(t, 2, count(), "an old connection is not used")
+	d.Retire("t")
+	run(3)
+	assert.Equal(t, 3, count(), "a retired connection is not used")
+}
--- /dev/null
+++ b/internal/loader/keys_test.go
@@ -0,0 +1,90 @@
+package loader
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// writePair writes a self-signed certificate for 127.0.0.1 and its key.
+func writePair(t *testing.T, dir string, serial int64) (certificate, key string) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	require.NoError(t, err)
+	secret, err := x509.MarshalPKCS8PrivateKey(private)
+	require.NoError(t, err)
+	certificate, key = filepath.Join(dir, "host.pem"), filepath.Join(dir, "host.key")
+	require.NoError(t, os.WriteFile(certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	require.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}), 0o600))
+	return certificate, key
+}
+
+// TestKeysAreReloaded replaces the certificate of a running server, then breaks
+// the file.
+func TestKeysAreReloaded(t *testing.T) {
+	dir := t.TempDir()
+	certificate, key := writePair(t, dir, 1)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	keys, err := NewKeys(certificate, key, certificate, clock)
+	require.NoError(t, err)
+	web := httptest.NewUnstartedServer(http.NotFoundHandler())
+	web.Listener = tls.NewListener(web.Listener, keys.Server())
+	web.Start()
+	defer web.Close()
+	serial := func() int64 {
+		c, err := tls.Dial("tcp", web.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true})
+		require.NoError(t, err)
+		defer c.Close()
+		return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+	}
+	assert.Equal(t, int64(1), serial())
+	writePair(t, dir, 2)
+	require.NoError(t, os.Chtimes(certificate, time.Now(), time.Now().Add(time.Minute)))
+	clock.Advance(keysFresh + time.Second)
+	assert.Equal(t, int64(2), serial())
+	require.NoError(t, os.WriteFile(certificate, []byte("broken"), 0o600))
+	clock.Advance(keysFresh + time.Second)
+	assert.Equal(t, int64(2), serial(), "a broken file leaves the old certificate in force")
+}
+
+// TestKeysVerify requires that the dialling side accepts the authority's hosts
+// and no others.
+func TestKeysVerify(t *testing.T) {
+	certificate, key := writePair(t, t.TempDir(), 1)
+	keys, err := NewKeys(certificate, key, certificate, clockwork.NewRealClock())
+	require.NoError(t, err)
+	web := httptest.NewUnstartedServer(http.NotFoundHandler())
+	web.Listener = tls.NewListener(web.Listener, keys.Server())
+	web.Start()
+	defer web.Close()
+	response, err := keys.HTTP(time.Second).Get("https://" + web.Listener.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	other, otherKey := writePair(t, t.TempDir(), 2)
+	strangers, err := NewKeys(other, otherKey, other, clockwork.NewRealClock())
+	require.NoError(t, err)
+	_, err = strangers.HTTP(time.Second).Get("https://" + web.Listener.Addr().String())
+	assert.Error(t, err)
+	_, err = NewKeys(filepath.Join(t.TempDir(), "none"), key, "", clockwork.NewRealClock())
+	assert.ErrorContains(t, err, "correct [security] certificate and key")
+}
