follower: after a failed read a host polls at its own pace

A zone that was cut off counted on its peers, who were cut off too: a read that hung for its 1 s time-out and then 2.25 s to the next could exceed the 3 s in which a change has to be in force. TestZoneCutOff cuts a zone off twice and requires 3 s.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -85,7 +85,7 @@
 		if f.Observe != nil {
 			f.Observe(failed)
 		}
-		timer := f.Clock.NewTimer(f.period())
+		timer := f.Clock.NewTimer(f.period(failed))
 		select {
 		case <-ctx.Done():
 		case <-f.nudge:
@@ -96,8 +96,12 @@
 }
 
 // period returns the time to the next poll, with jitter of an eighth either way.
-func (f *Follower) period() time.Duration {
+// After a failure it does not count on the peers, who may be cut off too.
+func (f *Follower) period(failed bool) time.Duration {
 	period := min(f.Every*time.Duration(max(f.hosts.Load(), 1)), f.Slowest)
+	if failed {
+		period = min(f.Every, f.Slowest)
+	}
 	return period - period/8 + time.Duration(f.Random.Int64N(int64(period)/4+1))
 }
 
