--- a/cmd/shallotctl/hosts.go
+++ b/cmd/shallotctl/hosts.go
@@ -41,6 +41,16 @@
 	}, nil
 }
 
+// ask parses the arguments of a command that asks hosts and needs no others.
+func (h *hostFlags) ask(set *flag.FlagSet, args []string) (*operator.Surveyor, error) {
+	h.add(set)
+	if err := parse(set, args, 0); err != nil {
+		return nil, err
+	}
+	return h.surveyor()
+}
+
+// json writes a value as indented JSON.
 func (t *tool) json(v any) error {
 	e := json.NewEncoder(t.out)
 	e.SetIndent("", "  ")
@@ -51,11 +61,7 @@
 	set := t.flags("status", "")
 	asJSON := set.Bool("json", false, "write JSON")
 	var h hostFlags
-	h.add(set)
-	if err := parse(set, args, 0); err != nil {
-		return err
-	}
-	s, err := h.surveyor()
+	s, err := h.ask(set, args)
 	if err != nil {
 		return err
 	}
@@ -114,11 +120,7 @@
 	set := t.flags("wait", "")
 	version := set.Uint64("version", 0, "the `version` to wait for")
 	var h hostFlags
-	h.add(set)
-	if err := parse(set, args, 0); err != nil {
-		return err
-	}
-	s, err := h.surveyor()
+	s, err := h.ask(set, args)
 	if err != nil {
 		return err
 	}
--- a/cmd/shallotrouter/failure_test.go
+++ b/cmd/shallotrouter/failure_test.go
@@ -338,17 +338,7 @@
 	host := d.daemons[0]
 	running, wait := d.load(host, "comites", 2, 4, 1500*time.Millisecond, 20*time.Second)
 	d.started(8)
-	client := storer.NewClient(d.platform.address, 5*time.Second)
-	record, err := client.Read(t.Context(), storer.Row, 0)
-	require.NoError(t, err)
-	current, err := declarer.Decode(record.Version, record.Value)
-	require.NoError(t, err)
-	row := current.Row
-	row.Preset = declarer.Maintenance
-	value, err := row.Encode()
-	require.NoError(t, err)
-	_, err = client.Swap(t.Context(), storer.Row, record.Version, value)
-	require.NoError(t, err)
+	d.setPreset(declarer.Maintenance)
 	d.await(func() bool { return d.status(host).Preset == string(declarer.Maintenance) })
 	a, err := d.client(host, "cruzroja").Submit(t.Context(), newJob(d.ticket(host, "cruzroja"), "new", time.Second, time.Millisecond))
 	require.NoError(t, err)
--- a/cmd/shallotrouter/whole_test.go
+++ b/cmd/shallotrouter/whole_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -128,3 +130,22 @@
 	assert.Equal(t, http.StatusUnauthorized, response.StatusCode)
 	assert.Empty(t, d.counts().Starts)
 }
+
+// TestLongJob waits for a job for longer than its submission may take to arrive,
+// and sends one that does not arrive.
+func TestLongJob(t *testing.T) {
+	d := deploy(t, "[limits]\nread = 300ms\n", 1, 1, "bogota-norte")
+	host := d.daemons[0]
+	a, err := d.client(host, "comites").Submit(t.Context(), newJob(d.ticket(host, "comites"), "long", 10*time.Second, time.Second))
+	require.NoError(t, err)
+	assert.Equal(t, shallotrouter.Complete, a.Outcome, a.Message)
+	c, err := net.Dial("tcp", host.address)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer comites-token\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	answer, err := io.ReadAll(c)
+	require.NoError(t, err, "the connection is ended")
+	assert.Contains(t, string(answer), "400 Bad Request")
+}
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -32,8 +32,6 @@
 const (
 	// headerTimeout bounds the reading of a request's header.
 	headerTimeout = 5 * time.Second
-	// bodyTimeout bounds the reading of a whole request.
-	bodyTimeout = 30 * time.Second
 	// idleTimeout closes clients' idle connections.
 	idleTimeout = 2 * time.Minute
 	// maxHeader bounds a request's header in bytes.
@@ -103,7 +101,7 @@
 		return err
 	}
 	web := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: d.Settings.Read,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
 	s := &service{server: web, listener: listener, failed: make(chan error, 1)}
--- a/internal/divider/divide.go
+++ b/internal/divider/divide.go
@@ -4,6 +4,7 @@
 package divider
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -105,7 +106,7 @@
 		}
 	}
 	slices.SortStableFunc(order, func(a, b *total) int {
-		return compare(a.tasks/a.weight, b.tasks/b.weight)
+		return cmp.Compare(a.tasks/a.weight, b.tasks/b.weight)
 	})
 	for _, t := range order {
 		t.given = min(t.tasks, slots*t.weight/weight)
@@ -118,16 +119,6 @@
 	return max(slots, 0), level
 }
 
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // Holder is a host that gets slots.
 type Holder struct {
 	Host string
@@ -183,7 +174,7 @@
 		given += whole[i]
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return compare(exact[b]-float64(whole[b]), exact[a]-float64(whole[a]))
+		return cmp.Compare(exact[b]-float64(whole[b]), exact[a]-float64(whole[a]))
 	})
 	for _, i := range order {
 		if given >= int(math.Floor(sum+tolerance)) {
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -42,8 +42,10 @@
 	Authority   string
 	// Drain bounds a graceful shutdown.
 	Drain time.Duration
-	// Body bounds a submission in bytes, and Requests the open requests.
+	// Body bounds a submission in bytes, Read the time it takes to arrive, and
+	// Requests the open requests.
 	Body     int64
+	Read     time.Duration
 	Requests int
 	// Result bounds a task's result in bytes.
 	Result int64
@@ -146,6 +148,7 @@
 	defer s.Close()
 	b := &v.Bounds
 	v.Body = int64(s.Int("body", 4<<20, 1<<10, 64<<20))
+	v.Read = s.Duration("read", 30*time.Second, 10*time.Millisecond, time.Hour)
 	v.Requests = s.Int("requests", 4096, 1, 1<<20)
 	b.Waiting = s.Int("waiting", b.Waiting, 1, 10_000_000)
 	b.Life = s.Duration("ticket", b.Life, time.Second, 24*time.Hour)
--- /dev/null
+++ b/internal/scheduler/status.go
@@ -0,0 +1,144 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/declarer"
+)
+
+// Survey asks for the host's state. It is answered by a Surveyed effect.
+type Survey struct{ Request uint64 }
+
+func (Survey) event() {}
+
+// Surveyed answers a Survey.
+type Surveyed struct {
+	Request uint64
+	Status  Status
+}
+
+func (Surveyed) effect() {}
+
+// Status is what an operator sees of a host.
+type Status struct {
+	Host      string `json:"host"`
+	Zone      string `json:"zone"`
+	Phase     Phase  `json:"phase"`
+	Version   uint64 `json:"version"`
+	Preset    string `json:"preset"`
+	Directory uint64 `json:"directory"`
+	Open      int    `json:"open"`
+	Waiting   int    `json:"waiting"`
+	Kept      int    `json:"kept"`
+	KeptBytes int    `json:"kept_bytes"`
+	Ranges    int    `json:"ranges"`
+	// Age is the time since the platform was last read; -1 means never.
+	Age     time.Duration  `json:"age"`
+	Peers   []PeerStatus   `json:"peers"`
+	Targets []TargetStatus `json:"targets"`
+	Clients []ClientStatus `json:"clients"`
+	Quotas  []QuotaStatus  `json:"quotas"`
+}
+
+// PeerStatus is one peer as the host sees it.
+type PeerStatus struct {
+	Host    string        `json:"host"`
+	State   Presence      `json:"state"`
+	Age     time.Duration `json:"age"`
+	Version uint64        `json:"version"`
+}
+
+// TargetStatus is one target as the host sees it.
+type TargetStatus struct {
+	Target  string  `json:"target"`
+	Service string  `json:"service"`
+	State   State   `json:"state"`
+	Slots   int     `json:"slots"`
+	Own     int     `json:"own"`
+	Others  int     `json:"others"`
+	Ratio   float64 `json:"ratio"`
+	Ejector string  `json:"ejector,omitempty"`
+}
+
+// ClientStatus is one client of one service at the host.
+type ClientStatus struct {
+	Service string  `json:"service"`
+	Client  string  `json:"client"`
+	Waiting int     `json:"waiting"`
+	Running int     `json:"running"`
+	Weight  float64 `json:"weight"`
+	Share   float64 `json:"share"`
+}
+
+// QuotaStatus is the host's part of one service.
+type QuotaStatus struct {
+	Service string `json:"service"`
+	Slots   int    `json:"slots"`
+	Quota   int    `json:"quota"`
+	Running int    `json:"running"`
+}
+
+// survey answers with the host's state.
+func (s *Scheduler) survey(e Survey) {
+	st := Status{
+		Host: s.Host, Zone: s.Zone, Phase: s.Phase(), Directory: s.directory.Version,
+		Open: s.open, Waiting: s.waiting, Kept: len(s.kept), KeptBytes: s.keptBytes, Ranges: s.ledger.Ranges(),
+	}
+	if s.config != nil {
+		st.Version, st.Preset = s.config.Version, string(s.config.Row.Preset)
+	}
+	for _, r := range s.peers {
+		st.Peers = append(st.Peers, PeerStatus{
+			Host: r.report.Host, State: Presence(r.machine.Current()), Age: s.now.Sub(r.heard), Version: r.report.Config,
+		})
+	}
+	slices.SortFunc(st.Peers, func(a, b PeerStatus) int { return strings.Compare(a.Host, b.Host) })
+	for _, name := range s.services {
+		s.surveyPool(s.pools[name], &st)
+	}
+	s.emit(Surveyed{Request: e.Request, Status: st})
+}
+
+func (s *Scheduler) surveyPool(p *pool, st *Status) {
+	st.Quotas = append(st.Quotas, QuotaStatus{Service: p.service.Name, Slots: s.slots(p), Quota: p.quota, Running: p.running})
+	for _, t := range p.targets {
+		st.Targets = append(st.Targets, TargetStatus{
+			Target: t.name, Service: p.service.Name, State: t.state(), Slots: t.slots,
+			Own: t.own, Others: t.others, Ratio: t.ratio, Ejector: t.ejector,
+		})
+	}
+	for _, name := range p.names() {
+		f := p.flows[name]
+		st.Clients = append(st.Clients, ClientStatus{
+			Service: p.service.Name, Client: name, Waiting: f.waiting, Running: f.running, Weight: f.declared, Share: f.weight,
+		})
+	}
+}
+
+// View is the part of the state that the transports follow.
+type View struct {
+	Phase     Phase
+	Config    *declarer.Config
+	Directory Directory
+	// Hosts counts the entry hosts of the zone that are present, this included.
+	Hosts int
+}
+
+// View returns the current view. What it points to is not changed later.
+func (s *Scheduler) View() View {
+	hosts := 1
+	for _, r := range s.peers {
+		if r.present() {
+			hosts++
+		}
+	}
+	return View{Phase: s.Phase(), Config: s.config, Directory: s.directory, Hosts: hosts}
+}
+
+// Open returns the number of jobs without a final answer.
+func (s *Scheduler) Open() int { return s.open }
+
+// Waiting returns the number of tasks that wait for a slot.
+func (s *Scheduler) Waiting() int { return s.waiting }
