--- a/cmd/shallotctl/hosts.go
+++ b/cmd/shallotctl/hosts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -19,14 +21,16 @@
 
 // hostFlags are the flags of commands that ask hosts.
 type hostFlags struct {
-	hosts string
-	token string
-	bound time.Duration
+	hosts     string
+	token     string
+	authority string
+	bound     time.Duration
 }
 
 func (h *hostFlags) add(set *flag.FlagSet) {
 	set.StringVar(&h.hosts, "hosts", "http://127.0.0.1:7100", "the base `URLs` of the entry hosts, with commas")
 	set.StringVar(&h.token, "token-file", "", "the `file` with the operators' token; default is $SHALLOTROUTER_OPERATOR")
+	set.StringVar(&h.authority, "authority", "", "the PEM `file` of who signed the hosts' certificates, for https")
 	set.DurationVar(&h.bound, "timeout", 10*time.Second, "how long to try")
 }
 
@@ -35,10 +39,29 @@
 	if err != nil {
 		return nil, err
 	}
-	return &operator.Surveyor{
-		Hosts: strings.Split(h.hosts, ","), Token: token, Clock: clockwork.NewRealClock(),
-		HTTP: &http.Client{Timeout: requestTimeout},
-	}, nil
+	client, err := web(h.authority)
+	if err != nil {
+		return nil, err
+	}
+	client.Timeout = requestTimeout
+	return &operator.Surveyor{Hosts: strings.Split(h.hosts, ","), Token: token, Clock: clockwork.NewRealClock(), HTTP: client}, nil
+}
+
+// web returns a client that trusts the authority, or the system's authorities when
+// none is named.
+func web(authority string) (*http.Client, error) {
+	if authority == "" {
+		return &http.Client{}, nil
+	}
+	pem, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no certificate; name a PEM file with -authority", authority)
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}}, nil
 }
 
 // ask parses the arguments of a command that asks hosts and needs no others.
@@ -93,10 +116,10 @@
 		v := f.Status
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%d\n", v.Host, v.Zone, v.Phase, v.Version, v.Preset, age(v.Age), len(v.Peers), v.Open, v.Waiting)
 	}
-	fmt.Fprintln(w, "\nHOST\tTARGET\tSERVICE\tSTATE\tSLOTS\tOWN\tPEERS'\tSLOWNESS\tEJECTED BY")
+	fmt.Fprintln(w, "\nHOST\tTARGET\tSERVICE\tSTATE\tSLOTS\tOWN\tPEERS'\tSLOWNESS\tEJECTED BY\tWHY")
 	for _, f := range findings {
 		for _, x := range f.Targets() {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.2f\t%s\n", f.Status.Host, x.Target, x.Service, x.State, x.Slots, x.Own, x.Others, x.Ratio, x.Ejector)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.2f\t%s\t%s\n", f.Status.Host, x.Target, x.Service, x.State, x.Slots, x.Own, x.Others, x.Ratio, x.Ejector, x.Why)
 		}
 	}
 	fmt.Fprintln(w, "\nHOST\tCLIENT\tSERVICE\tWAITING\tRUNNING\tWEIGHT\tSHARE")
--- a/cmd/shallotctl/submit.go
+++ b/cmd/shallotctl/submit.go
@@ -17,6 +17,7 @@
 	set := t.flags("submit", "FILE")
 	address := set.String("host", "http://127.0.0.1:7100", "the base `URL` of an entry host")
 	token := set.String("token-file", "", "the `file` with the client's token; default is $SHALLOTROUTER_TOKEN")
+	authority := set.String("authority", "", "the PEM `file` of who signed the host's certificate, for https")
 	asJSON := set.Bool("json", false, "write JSON")
 	if err := parse(set, args, 1); err != nil {
 		return err
@@ -25,7 +26,11 @@
 	if err != nil {
 		return err
 	}
-	client := &shallotrouter.Client{Address: *address}
+	caller, err := web(*authority)
+	if err != nil {
+		return err
+	}
+	client := &shallotrouter.Client{Address: *address, HTTP: caller}
 	if client.Token, err = secret(*token, "SHALLOTROUTER_TOKEN"); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/faker/pair.go
@@ -0,0 +1,45 @@
+package faker
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// WritePair writes a self-signed certificate for 127.0.0.1, good for an hour, and
+// its key into a folder, and returns their paths.
+func WritePair(dir string, serial int64) (certificate, key string, err error) {
+	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return "", "", err
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	public, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
+	if err != nil {
+		return "", "", err
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return "", "", err
+	}
+	certificate, key = filepath.Join(dir, "host.pem"), filepath.Join(dir, "host.key")
+	if err := writePEM(certificate, "CERTIFICATE", public); err != nil {
+		return "", "", err
+	}
+	return certificate, key, writePEM(key, "PRIVATE KEY", secret)
+}
+
+// writePEM writes one block that only the owner can read.
+func writePEM(path, kind string, data []byte) error {
+	return os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600)
+}
--- a/internal/loader/keys_test.go
+++ b/internal/loader/keys_test.go
@@ -1,14 +1,7 @@
 package loader
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -19,23 +12,14 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/shallotrouter/shallotrouter/internal/faker"
 )
 
-// writePair writes a self-signed certificate for 127.0.0.1 and its key.
+// writePair writes a certificate and its key.
 func writePair(t *testing.T, dir string, serial int64) (certificate, key string) {
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	require.NoError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(serial), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &private.PublicKey, private)
-	require.NoError(t, err)
-	secret, err := x509.MarshalPKCS8PrivateKey(private)
+	certificate, key, err := faker.WritePair(dir, serial)
 	require.NoError(t, err)
-	certificate, key = filepath.Join(dir, "host.pem"), filepath.Join(dir, "host.key")
-	require.NoError(t, os.WriteFile(certificate, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
-	require.NoError(t, os.WriteFile(key, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}), 0o600))
 	return certificate, key
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -444,3 +444,50 @@
 	}
 	assert.Len(t, only[Start](append(b.submit("a", b.ticket(), 1, time.Second), b.pass(200*time.Millisecond)...)), 1)
 }
+
+// TestHold requires that one client's long tasks leave room for others, and that
+// short ones may take every slot.
+func TestHold(t *testing.T) {
+	for _, c := range []struct {
+		expect time.Duration
+		starts int
+	}{{10 * time.Second, 6}, {100 * time.Millisecond, 8}} {
+		b := newBench(t, 4) // 8 slots, of which long tasks of one client may hold 75 %
+		b.request++
+		job := shallotrouter.Job{Service: "s", Deadline: shallotrouter.Duration(time.Hour)}
+		for range 20 {
+			job.Tasks = append(job.Tasks, shallotrouter.Task{Kind: "k", Expect: shallotrouter.Duration(c.expect)})
+		}
+		starts := only[Start](b.step(Submit{Request: b.request, Client: "a", Number: b.ticket(), Job: job}))
+		assert.Len(t, starts, c.starts)
+		if c.starts < 8 {
+			assert.Len(t, only[Start](b.submit("b", b.ticket(), 1, time.Hour)), 1, "a small job finds a slot")
+		}
+	}
+}
+
+// TestWeights requires that clients with work waiting get executor time by
+// weight.
+func TestWeights(t *testing.T) {
+	b := newBench(t, 2)
+	for range 20 {
+		b.submit("a", b.ticket(), 100, time.Hour)
+		b.submit("b", b.ticket(), 100, time.Hour)
+	}
+	var flying []Start
+	count := map[string]int{}
+	flying = append(flying, only[Start](b.step(Tick{}))...)
+	for _, n := range []uint64{1, 2} { // the first jobs' tasks are in flight already
+		for i := range b.jobs[n].tasks {
+			if k := &b.jobs[n].tasks[i]; k.state == taskSent {
+				flying = append(flying, Start{Number: n, Task: i, Target: k.target.name, Client: b.jobs[n].client})
+			}
+		}
+	}
+	for range 400 {
+		s := flying[0]
+		flying = append(flying[1:], only[Start](b.end(s, Done))...)
+		count[s.Client]++
+	}
+	assert.InDelta(t, 3, float64(count["b"])/float64(count["a"]), 0.3)
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -60,6 +60,8 @@
 	Others  int     `json:"others"`
 	Ratio   float64 `json:"ratio"`
 	Ejector string  `json:"ejector,omitempty"`
+	// Why tells what put the target into its state.
+	Why string `json:"why,omitempty"`
 }
 
 // ClientStatus is one client of one service at the host.
@@ -106,7 +108,7 @@
 	for _, t := range p.targets {
 		st.Targets = append(st.Targets, TargetStatus{
 			Target: t.name, Service: p.service.Name, State: t.state(), Slots: t.slots,
-			Own: t.own, Others: t.others, Ratio: t.ratio, Ejector: t.ejector,
+			Own: t.own, Others: t.others, Ratio: t.ratio, Ejector: t.ejector, Why: t.why,
 		})
 	}
 	for _, name := range p.names() {
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -16,6 +16,7 @@
 	pool      *pool
 	machine   *fsm.FSM
 	current   State
+	why       string    // why it is in that state
 	listed    bool      // the directory says that it is leaving
 	told      time.Time // its own word that it is leaving holds until then
 	warned    time.Time // a peer's first-hand word that it is leaving holds until then
@@ -140,7 +141,7 @@
 		s.violate("target life cycle", "%s of %s: %v", event, t.name, err)
 		return
 	}
-	t.current = State(t.machine.Current())
+	t.current, t.why = State(t.machine.Current()), reason
 	t.pool.outdated = true
 	s.urgent = true
 	s.emit(Decide{Action: Mark, Target: t.name, Outcome: "", Reason: string(event) + " " + reason})
