--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -187,7 +187,7 @@
 }
 
 // request builds the HTTP request. Its body cannot be read twice, so that
-// net/http never sends it again on its own.
+// net/http never sends it again on its own (#4).
 func (c *call) request(ctx context.Context) (*http.Request, error) {
 	trace := &httptrace.ClientTrace{GotConn: c.gotConn}
 	body := io.NopCloser(bytes.NewReader(c.start.Payload))
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,7 +96,7 @@
 }
 
 // period returns the time to the next poll, with jitter of an eighth either way.
-// After a failure it does not count on the peers, who may be cut off too.
+// After a failure it does not count on the peers, who may be cut off too (#4).
 func (f *Follower) period(failed bool) time.Duration {
 	period := min(f.Every*time.Duration(max(f.hosts.Load(), 1)), f.Slowest)
 	if failed {
--- a/internal/scheduler/finish.go
+++ b/internal/scheduler/finish.go
@@ -99,7 +99,7 @@
 	reason, message := shallotrouter.Rejected, fmt.Sprintf("task %d failed on its target: %s; correct the task before submitting a new job", e.Task, e.Message)
 	if e.Result == Lost {
 		reason = shallotrouter.Unknown
-		message = fmt.Sprintf("task %d may have run, its answer was lost: %s; find out before submitting it again", e.Task, e.Message)
+		message = fmt.Sprintf("the answer to task %d was lost: %s; find out before submitting it again", e.Task, e.Message)
 	}
 	s.abandon(j, reason, message, 0)
 }
--- a/internal/scheduler/flow.go
+++ b/internal/scheduler/flow.go
@@ -99,7 +99,7 @@
 // charge moves the flow's tag by the expected run time of a task that starts,
 // and by what earlier tasks ran longer or shorter than expected. The tag never
 // goes back: a client whose short tasks end first would otherwise overtake the
-// others until its long ones end.
+// others until its long ones end (#5).
 func (f *flow) charge(expected time.Duration) {
 	amount := max(expected+f.debt, expected/leastCharge)
 	f.debt -= amount - expected
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -116,6 +117,8 @@
 	event, outcome := jobFail, shallotrouter.Failed
 	if j.begun == 0 {
 		event, outcome = jobRefuse, shallotrouter.Refused
+	} else {
+		message = fmt.Sprintf("%d of %d tasks may have run: %s", j.begun, len(j.tasks), message)
 	}
 	s.finalize(j, event, shallotrouter.Answer{
 		Outcome: outcome, Reason: reason, Message: message, After: shallotrouter.Duration(after),
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -44,7 +44,9 @@
 		if t == nil {
 			break
 		}
-		s.start(f, t)
+		if !s.start(f, t) {
+			break
+		}
 	}
 	for _, f := range aside {
 		f.activate()
@@ -52,7 +54,7 @@
 }
 
 // try gives one task to each target that is due for a trial. A target in trial
-// has no slot in the quota, and may be the only one.
+// has no slot in the quota, and may be the only one (#4).
 func (s *Scheduler) try(p *pool) {
 	for _, t := range p.targets {
 		if t.state() == Trial && t.own == 0 && p.active.Len() > 0 {
@@ -122,8 +124,9 @@
 // othersWeight is the weight of a peer's task against an own one.
 const othersWeight = 0.1
 
-// start sends the flow's next task to the target.
-func (s *Scheduler) start(f *flow, t *target) {
+// start sends the flow's next task to the target. It reports false when that would
+// break an invariant.
+func (s *Scheduler) start(f *flow, t *target) bool {
 	p := f.pool
 	j := f.jobs.Top()
 	last := len(j.queue) - 1
@@ -132,11 +135,11 @@
 	next, ok := taskMachine.Next(k.state, taskSend)
 	if !ok {
 		s.violate("starts at most once", "job %d task %d is sent in state %s", j.number, index, k.state)
-		return
+		return false
 	}
 	if t.own >= t.slots {
 		s.violate("declared slots", "target %s would have %d tasks in flight", t.name, t.own+1)
-		return
+		return false
 	}
 	k.state = next
 	k.attempts++
@@ -157,6 +160,7 @@
 		Until: s.now.Add(p.service.Longest),
 	})
 	s.emit(Decide{Action: Place, Number: j.number, Task: index, Client: j.client, Target: t.name})
+	return true
 }
 
 // take removes the last waiting task from the job's queue.
--- a/internal/scheduler/share.go
+++ b/internal/scheduler/share.go
@@ -13,7 +13,7 @@
 
 // share computes this host's part of the slots and its flows' weights. It uses
 // what this host has published, not what it knows of itself, so that every host
-// of the zone divides the same figures.
+// of the zone divides the same figures (#5).
 func (s *Scheduler) share(p *pool) {
 	p.outdated = false
 	s.demands = s.demands[:0]
--- a/internal/scheduler/target.go
+++ b/internal/scheduler/target.go
@@ -83,7 +83,7 @@
 	// ejectedPart bounds the part of a pool's targets that may be ejected.
 	ejectedPart = 1.0 / 3
 	// leaveMemory is how long the word that a target is leaving holds, its own or
-	// a peer's. It outlasts the peer.
+	// a peer's. It outlasts the peer (#4).
 	leaveMemory = 5 * time.Minute
 	// firstFull and lastFull bound the growing time for which a busy answer
 	// proves that the peers hold the target's other slots.
