server: a forwarded submission is given up when its home goes silent

Cause: a home that is frozen, or behind a path that lost the connection, held the answer until the job's deadline and 6 s more. The forwarding host now asks the home for its health every second on a connection of its own and gives up after two misses.

--- a/cmd/shallotrouter/failure_test.go
+++ b/cmd/shallotrouter/failure_test.go
@@ -201,6 +201,27 @@
 	d.requireOnce()
 }
 
+// TestFrozenHome submits a frozen host's ticket to another host, which has to
+// answer soon and must not run the job.
+func TestFrozenHome(t *testing.T) {
+	d := deploy(t, "", 1, 2, "bogota-norte")
+	home, other := d.daemons[0], d.daemons[1]
+	job := newJob(d.ticket(home, "comites"), "x", time.Minute, time.Millisecond)
+	home.signal(t, syscall.SIGSTOP)
+	start := time.Now()
+	a, err := d.client(other, "comites").Submit(t.Context(), job)
+	require.NoError(t, err)
+	assert.Equal(t, shallotrouter.Lost, a.Outcome)
+	assert.Positive(t, a.After)
+	assert.Less(t, time.Since(start), 10*time.Second, "long before the deadline")
+	home.signal(t, syscall.SIGCONT)
+	d.await(func() bool { // the client comes back with the same ticket
+		a, err = d.client(other, "comites").Submit(t.Context(), job)
+		return err == nil && a.Outcome == shallotrouter.Complete
+	})
+	d.requireOnce()
+}
+
 // TestShutdown asks a host under load to shut down.
 func TestShutdown(t *testing.T) {
 	d := deploy(t, "", 1, 2, "bogota-norte")
--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -215,7 +215,9 @@
 		Clock: d.Clock, Log: d.Log, Runner: r, Meter: d.meter, Sealer: sealer, Peers: r.Reporter,
 		Address: v.Address, Incarnation: incarnation, Secret: v.Secret, Operator: v.Operator,
 		Body: v.Body, Requests: v.Requests, Drain: d.Drain,
-		Forwarder: &server.Forwarder{HTTP: keys.HTTP(v.Dial), Scheme: keys.Scheme(), Secret: v.Secret, Ask: forwardAsk, Seal: sealer.Seal},
+		Forwarder: &server.Forwarder{
+			Clock: d.Clock, HTTP: keys.HTTP(v.Dial), Scheme: keys.Scheme(), Secret: v.Secret, Ask: forwardAsk, Seal: sealer.Seal,
+		},
 	}
 	return web.Handler(), keys.Server(), nil
 }
--- a/internal/server/forward.go
+++ b/internal/server/forward.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
 	"github.com/shallotrouter/shallotrouter"
 	"github.com/shallotrouter/shallotrouter/internal/reporter"
 	"github.com/shallotrouter/shallotrouter/internal/ticketer"
@@ -24,13 +26,16 @@
 // Forwarder passes requests on to the home of their ticket. Its fields are set
 // before use. It is safe for concurrent use.
 type Forwarder struct {
+	// Clock tells the time.
+	Clock clockwork.Clock
 	// HTTP makes the requests. It must not follow redirects.
 	HTTP *http.Client
 	// Scheme is http or https.
 	Scheme string
 	// Secret is the key that all entry hosts share.
 	Secret []byte
-	// Ask bounds requests that do not wait for a job.
+	// Ask bounds requests that do not wait for a job, and is the period at which
+	// the home of a job that is waited for has to show that it lives.
 	Ask time.Duration
 	// Seal returns the text of a ticket.
 	Seal func(ticketer.Ticket) (string, error)
@@ -46,6 +51,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
+	go (&probe{forwarder: f, home: t.Home, giveUp: cancel}).run(ctx)
 	a, err := f.exchange(ctx, t, client, method, job)
 	if err != nil {
 		return shallotrouter.Answer{
@@ -112,3 +118,50 @@
 	}
 	return shallotrouter.Answer{Outcome: shallotrouter.Lost, Reason: shallotrouter.Unready, Message: "the job is not final yet; ask its home again"}, nil
 }
+
+// probe watches the home of a forwarded submission. A host that froze, or a path
+// that lost the connection, would otherwise hold the answer until the job's
+// deadline (#4).
+type probe struct {
+	forwarder *Forwarder
+	home      string
+	giveUp    context.CancelFunc
+}
+
+// maxMissed is the number of probes in a row without an answer that give up.
+const maxMissed = 2
+
+// run probes until the submission is answered.
+func (p *probe) run(ctx context.Context) {
+	ticker := p.forwarder.Clock.NewTicker(p.forwarder.Ask)
+	defer ticker.Stop()
+	for missed := 0; missed < maxMissed; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		if p.lives(ctx) {
+			missed = 0
+		} else {
+			missed++
+		}
+	}
+	p.giveUp()
+}
+
+// lives asks the home for its health on a connection of its own.
+func (p *probe) lives(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, p.forwarder.Ask)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.forwarder.Scheme+"://"+p.home+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	request.Close = true
+	response, err := p.forwarder.HTTP.Do(request)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil && response.StatusCode == http.StatusOK
+}
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -22,7 +24,7 @@
 	web := httptest.NewServer(handle)
 	t.Cleanup(web.Close)
 	sealer := &ticketer.Sealer{Key: []byte("a key of the test")}
-	f := &Forwarder{HTTP: web.Client(), Scheme: "http", Secret: sealer.Key, Ask: time.Second, Seal: sealer.Seal}
+	f := &Forwarder{Clock: clockwork.NewRealClock(), HTTP: web.Client(), Scheme: "http", Secret: sealer.Key, Ask: time.Second, Seal: sealer.Seal}
 	return f, ticketer.Ticket{Home: strings.TrimPrefix(web.URL, "http://"), Number: 1, Client: "c"}
 }
 
@@ -106,3 +108,37 @@
 		}
 	})
 }
+
+// silentHome accepts connections and answers nothing, as a frozen host does.
+func silentHome(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// TestSilentHome requires that a forwarded submission is answered soon when its
+// home has gone silent, and not only after the job's deadline.
+func TestSilentHome(t *testing.T) {
+	sealer := &ticketer.Sealer{Key: []byte("a key of the test")}
+	f := &Forwarder{Clock: clockwork.NewRealClock(), HTTP: &http.Client{}, Scheme: "http", Secret: sealer.Key, Ask: 100 * time.Millisecond, Seal: sealer.Seal}
+	start := time.Now()
+	a := f.Forward(t.Context(), ticketer.Ticket{Home: silentHome(t), Number: 1}, "c", http.MethodPost,
+		&shallotrouter.Job{Deadline: shallotrouter.Duration(time.Minute)})
+	assert.Equal(t, shallotrouter.Lost, a.Outcome)
+	assert.Less(t, time.Since(start), 10*time.Second)
+}
+
+// TestSlowJobIsAwaited requires that a home that lives is waited for.
+func TestSlowJobIsAwaited(t *testing.T) {
+	f, ticket := home(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			return
+		}
+		<-time.After(700 * time.Millisecond)
+		_, _ = w.Write([]byte(`{"outcome":"complete"}`))
+	})
+	f.Ask = 100 * time.Millisecond
+	a := f.Forward(t.Context(), ticket, "c", http.MethodPost, &shallotrouter.Job{Deadline: shallotrouter.Duration(time.Minute)})
+	assert.Equal(t, shallotrouter.Complete, a.Outcome)
+}
