scheduler: a ticket is good for one job only

A client that used a ticket again with other tasks got the first job's answer. The submission now carries a hash of service, kinds and payloads, and another one is refused as not run.

--- a/cmd/shallotrouter/whole_test.go
+++ b/cmd/shallotrouter/whole_test.go
@@ -149,3 +149,20 @@
 	require.NoError(t, err, "the connection is ended")
 	assert.Contains(t, string(answer), "400 Bad Request")
 }
+
+// TestTicketIsForOneJob submits another job under a used ticket: it must not get
+// the first job's answer, and must not run.
+func TestTicketIsForOneJob(t *testing.T) {
+	d := deploy(t, "", 1, 2, "bogota-norte")
+	ticket := d.ticket(d.daemons[0], "comites")
+	a, err := d.client(d.daemons[1], "comites").Submit(t.Context(), newJob(ticket, "first", time.Second, time.Millisecond))
+	require.NoError(t, err)
+	require.Equal(t, shallotrouter.Complete, a.Outcome, a.Message)
+	for _, p := range d.daemons {
+		a, err = d.client(p, "comites").Submit(t.Context(), newJob(ticket, "second", time.Second, time.Millisecond))
+		require.NoError(t, err)
+		assert.Equal(t, shallotrouter.Refused, a.Outcome)
+		assert.Equal(t, shallotrouter.Malformed, a.Reason)
+	}
+	assert.Len(t, d.counts().Starts, 1)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 
@@ -280,10 +282,26 @@
 // Submit runs a job and waits for its answer or the context.
 func (r *Runner) Submit(ctx context.Context, client string, number uint64, job shallotrouter.Job) (scheduler.Reply, error) {
 	return reply(r.ask(ctx, func(request uint64) scheduler.Event {
-		return scheduler.Submit{Request: request, Client: client, Number: number, Job: job}
+		return scheduler.Submit{Request: request, Client: client, Number: number, Job: job, Digest: digest(job)}
 	}))
 }
 
+// digest returns a hash of what a job does. Deadlines may differ between two
+// submissions of the same job.
+func digest(job shallotrouter.Job) uint64 {
+	h := xxhash.New()
+	add := func(data []byte) {
+		_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(data)))) // never fails
+		_, _ = h.Write(data)
+	}
+	add([]byte(job.Service))
+	for _, t := range job.Tasks {
+		add([]byte(t.Kind))
+		add(t.Payload)
+	}
+	return h.Sum64()
+}
+
 // Cancel withdraws a job and waits for its answer.
 func (r *Runner) Cancel(ctx context.Context, client string, number uint64) (scheduler.Reply, error) {
 	return reply(r.ask(ctx, func(request uint64) scheduler.Event {
--- a/internal/scheduler/admit.go
+++ b/internal/scheduler/admit.go
@@ -47,7 +47,7 @@
 	}
 	p := s.pools[e.Job.Service]
 	j := &job{
-		number: e.Number, client: e.Client, service: e.Job.Service, state: jobWaiting,
+		number: e.Number, digest: e.Digest, client: e.Client, service: e.Job.Service, state: jobWaiting,
 		specs: e.Job.Tasks, tasks: make([]task, len(e.Job.Tasks)),
 		admitted: s.now, deadline: s.now.Add(time.Duration(e.Job.Deadline)),
 		waiters: []uint64{e.Request},
@@ -83,6 +83,10 @@
 // joined answers a submission whose ticket is not fresh.
 func (s *Scheduler) joined(e Submit) bool {
 	if j := s.jobs[e.Number]; j != nil {
+		if j.client == e.Client && j.digest != 0 && e.Digest != 0 && j.digest != e.Digest {
+			s.refuse(e, shallotrouter.Errorf(shallotrouter.Malformed, "the ticket was used for another job; take a ticket for each job"))
+			return true
+		}
 		s.join(j, e.Request, e.Client)
 		return true
 	}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -27,6 +27,9 @@
 	Client  string
 	Number  uint64
 	Job     shallotrouter.Job
+	// Digest tells jobs apart: a ticket is good for one job only. Zero is not
+	// compared.
+	Digest uint64
 }
 
 // Inspect asks for the state of a job. It is answered by a Shown effect.
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -26,6 +26,7 @@
 	holder.Index // place among the client's waiting jobs
 
 	number   uint64
+	digest   uint64
 	client   string
 	service  string
 	state    jobState
