scheduler: a task that returns unstarted after a freeze is given up

A task that a target had held or refused as late came back as not started and was sent again, although its job was from before the freeze. Ruled out: new submissions (the test waits until all have arrived). TestPauseGivesUpReturnedTasks, without clocks, fails before and passes after.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -47,6 +47,7 @@
 	size     int           // bytes of results
 	work     time.Duration // expected run time of the waiting tasks
 	dropped  bool          // the answer is forgotten, but tasks are in flight
+	paused   bool          // the host was frozen since the job was admitted
 }
 
 // due is a job's place among all deadlines.
--- a/internal/scheduler/place.go
+++ b/internal/scheduler/place.go
@@ -208,6 +208,10 @@
 	if j.begun == 0 {
 		j.state, _ = jobMachine.Next(j.state, jobRevert)
 	}
+	if j.paused {
+		s.abandonPaused(j)
+		return
+	}
 	if p.tokens--; p.tokens < 0 {
 		p.tokens += retryBatch
 		p.paused = s.now.Add(retryPause)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -306,16 +306,22 @@
 // work is given up and nothing starts before the state is read anew.
 func (s *Scheduler) suspend(gap time.Duration) {
 	for _, j := range s.unfinished() {
+		j.paused = true
 		if len(j.queue) > 0 {
-			s.abandon(j, shallotrouter.Paused, fmt.Sprintf("this host was frozen for %v; submit the job anew", gap.Round(time.Millisecond)), minBackoff)
+			s.abandonPaused(j)
 		}
 	}
 	s.suspended = s.now
-	if s.move(suspend, "frozen for "+gap.String()) {
+	if s.move(suspend, "frozen for "+gap.Round(time.Millisecond).String()) {
 		s.emit(Refresh{})
 	}
 }
 
+// abandonPaused gives up a job of which a task still has to start after a freeze.
+func (s *Scheduler) abandonPaused(j *job) {
+	s.abandon(j, shallotrouter.Paused, "this host was frozen; submit the job anew", minBackoff)
+}
+
 // resumeAfter bounds the wait for fresh state after a freeze; a host that is
 // cut off goes on with what it has.
 const resumeAfter = time.Second
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -491,3 +491,22 @@
 	}
 	assert.InDelta(t, 3, float64(count["b"])/float64(count["a"]), 0.3)
 }
+
+// TestPauseGivesUpReturnedTasks requires that a task that was sent before a freeze
+// and proves not to have started is not sent again after it.
+func TestPauseGivesUpReturnedTasks(t *testing.T) {
+	for _, first := range []Result{Done, Late} {
+		b := newBench(t, 1)
+		starts := only[Start](b.submit("a", b.ticket(), 2, time.Hour))
+		require.Len(t, starts, 2)
+		b.later(b.Bounds.Pause+time.Second, Tick{})
+		effects := append(b.end(starts[0], first), b.end(starts[1], Late)...)
+		effects = append(effects, b.step(Confirm{Directory: 1})...)
+		effects = append(effects, b.pass(2*time.Second)...)
+		assert.Empty(t, only[Start](effects))
+		replies := only[Reply](effects)
+		require.Len(t, replies, 1)
+		assert.Equal(t, shallotrouter.Paused, replies[0].Answer.Reason)
+		assert.Equal(t, shallotrouter.Failed, replies[0].Answer.Outcome, "the other task may have run")
+	}
+}
