reporter, server: what was set and not used

Reporter.Random was set and never drawn from, while the dials drew from the global source; each link now has a seeded source of its own. Server.Clock is gone.

--- a/internal/assembler/daemon.go
+++ b/internal/assembler/daemon.go
@@ -202,7 +202,7 @@
 		Dial: v.Dial, Unacked: v.Unacked, MaxResult: v.Result,
 	}
 	r.Reporter = &reporter.Reporter{
-		Clock: d.Clock, Log: d.Log, Sink: r, Secret: v.Secret, TLS: keys.Client(), Random: seed, Observe: d.meter.Report,
+		Clock: d.Clock, Log: d.Log, Sink: r, Secret: v.Secret, TLS: keys.Client(), Seed: incarnation, Observe: d.meter.Report,
 		Self: reporter.Hello{Host: v.Name, Zone: v.Zone, Address: v.Address, Incarnation: incarnation},
 	}
 	r.Follower = &follower.Follower{
@@ -212,7 +212,7 @@
 	r.Follower.Init()
 	d.runner = r
 	web := &server.Server{
-		Clock: d.Clock, Log: d.Log, Runner: r, Meter: d.meter, Sealer: sealer, Peers: r.Reporter,
+		Log: d.Log, Runner: r, Meter: d.meter, Sealer: sealer, Peers: r.Reporter,
 		Address: v.Address, Incarnation: incarnation, Secret: v.Secret, Operator: v.Operator,
 		Body: v.Body, Requests: v.Requests, Drain: d.Drain,
 		Forwarder: &server.Forwarder{
--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -53,8 +54,8 @@
 	Secret []byte
 	// TLS is the client's side of TLS; nil means plain connections.
 	TLS *tls.Config
-	// Random spreads the dials.
-	Random *rand.Rand
+	// Seed spreads the dials; each link draws from a source of its own.
+	Seed uint64
 	// Observe is told of every message that is sent, with its size in bytes. It
 	// may be nil.
 	Observe func(bytes int)
@@ -104,7 +105,10 @@
 		return
 	}
 	ctx, cancel := context.WithCancel(r.context)
-	l := &link{reporter: r, address: address, cancel: cancel, wake: make(chan struct{}, 1)}
+	l := &link{
+		reporter: r, address: address, cancel: cancel, wake: make(chan struct{}, 1),
+		random: rand.New(rand.NewPCG(r.Seed, xxhash.Sum64String(address))),
+	}
 	r.links[address] = l
 	go l.run(ctx)
 }
@@ -184,6 +188,7 @@
 	address  string
 	cancel   context.CancelFunc
 	wake     chan struct{}
+	random   *rand.Rand
 
 	socket *websocket.Conn
 	near   bool
@@ -214,7 +219,7 @@
 			l.socket.CloseNow()
 			r.Log.V(1).Info("peer link ended", "peer", l.address, "error", errorText(err))
 		}
-		timer := r.Clock.NewTimer(wait/2 + time.Duration(rand.Int64N(int64(wait))))
+		timer := r.Clock.NewTimer(wait/2 + time.Duration(l.random.Int64N(int64(wait))))
 		select {
 		case <-ctx.Done():
 		case <-timer.Chan():
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -30,7 +29,7 @@
 	s := make(sink, 100)
 	r := &Reporter{
 		Clock: clockwork.NewRealClock(), Log: logr.Discard(), Sink: s, Secret: []byte("a key of the test"),
-		Random: rand.New(rand.NewPCG(1, 1)), Self: Hello{Host: name, Zone: "z", Incarnation: 1},
+		Seed: 1, Self: Hello{Host: name, Zone: "z", Incarnation: 1},
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+Path, r)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,7 +12,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/go-logr/logr"
-	"github.com/jonboulle/clockwork"
 	"github.com/justinas/alice"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -28,7 +27,6 @@
 // Server answers HTTP requests. Its fields are set before Handler. It is safe
 // for concurrent use.
 type Server struct {
-	Clock  clockwork.Clock
 	Log    logr.Logger
 	Runner *runner.Runner
 	Meter  *meter.Meter
