--- a/cmd/shallotrouter/main.go
+++ b/cmd/shallotrouter/main.go
@@ -1,6 +1,9 @@
 // Command shallotrouter is the daemon that runs on every entry host.
 //
-//	shallotrouter -config FILE.ini
+//	shallotrouter [-config FILE.ini]
+//
+// Without -config it takes the file that SHALLOTROUTER_NODE_FILE names. A file
+// with a [node] section makes it an entry host on the users' platform.
 //
 // It exits with 0 after a graceful shutdown, 1 when it fails while running and
 // 2 when its settings are wrong. SIGTERM and SIGINT begin a graceful shutdown; a
@@ -33,7 +36,7 @@
 
 // start reads the command line and the settings, then serves.
 func start() int {
-	path := flag.String("config", "", "the settings `file`")
+	path := flag.String("config", os.Getenv("SHALLOTROUTER_NODE_FILE"), "the settings `file`")
 	version := flag.Bool("version", false, "print the version and exit")
 	check := flag.Bool("check", false, "check the settings and exit")
 	flag.Parse()
@@ -41,6 +44,9 @@
 		fmt.Println("shallotrouter", buildVersion())
 		return 0
 	}
+	if text, err := os.ReadFile(*path); err == nil && loader.IsNode(string(text)) {
+		return startNode(*path, string(text), *check)
+	}
 	settings, err := loader.Load(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -59,9 +65,7 @@
 	log := logger.New(os.Stderr, settings.Verbosity)
 	d := &assembler.Daemon{Settings: settings, Clock: clockwork.NewRealClock(), Log: log, Listener: listener}
 	d.Init()
-	w := &watcher{daemon: d, signals: make(chan os.Signal, 2)}
-	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT)
-	go w.run()
+	watch(d)
 	if err := d.Run(context.Background()); err != nil {
 		log.Error(err, "daemon failed")
 		return exitFailed
@@ -69,9 +73,22 @@
 	return 0
 }
 
+// stopper is a daemon that can be shut down.
+type stopper interface {
+	Drain()
+	Stop()
+}
+
+// watch shuts the daemon down on signals.
+func watch(daemon stopper) {
+	w := &watcher{daemon: daemon, signals: make(chan os.Signal, 2)}
+	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT)
+	go w.run()
+}
+
 // watcher turns signals into a shutdown.
 type watcher struct {
-	daemon  *assembler.Daemon
+	daemon  stopper
 	signals chan os.Signal
 }
 
--- /dev/null
+++ b/cmd/shallotrouter/node.go
@@ -0,0 +1,57 @@
+package main
+
+// #include <unistd.h>
+import "C" // the platform runs programs that are linked against the C library
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/shallotrouter/shallotrouter/internal/assembler"
+	"github.com/shallotrouter/shallotrouter/internal/clocker"
+	"github.com/shallotrouter/shallotrouter/internal/loader"
+	"github.com/shallotrouter/shallotrouter/internal/logger"
+	"github.com/shallotrouter/shallotrouter/internal/meter"
+)
+
+// startNode serves as an entry host on the users' platform.
+func startNode(path, text string, check bool) int {
+	settings, err := loader.ParseNode(path, text)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if check {
+		fmt.Println("settings are good")
+		return 0
+	}
+	metrics := meter.NewHost()
+	queue := &logger.Queue{Output: os.Stdout, Bound: settings.Buffer, Observe: metrics.Omitted.Inc}
+	queue.Init()
+	writing, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go (&writer{queue: queue}).run(writing)
+	defer queue.Flush()
+	log := logger.New(queue, settings.Verbosity)
+	n := &assembler.Node{Settings: settings, Clock: clocker.NewBoot(clockwork.NewRealClock()), Log: log, Meter: metrics}
+	n.Init()
+	watch(n)
+	h := &reloader{path: path, hangups: make(chan os.Signal, 1)}
+	signal.Notify(h.hangups, syscall.SIGHUP)
+	go h.run(log.WithName("settings"))
+	if err := n.Run(context.Background()); err != nil {
+		log.Error(err, "daemon failed")
+		return exitFailed
+	}
+	return 0
+}
+
+// writer carries the log out.
+type writer struct{ queue *logger.Queue }
+
+func (w *writer) run(ctx context.Context) { w.queue.Run(ctx) }
--- /dev/null
+++ b/internal/linker/linker.go
@@ -0,0 +1,167 @@
+// Package linker carries messages between entry hosts, over WebSocket in CBOR.
+// Each host dials each other one and sends on the connection that it dialled.
+package linker
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+
+	"github.com/shallotrouter/shallotrouter/internal/router"
+)
+
+const (
+	// Path is where a host takes links.
+	Path = "/link"
+	// headerFrom names the dialling host's address.
+	headerFrom = "Shallot-From"
+	// maxFrame bounds a frame in bytes: a configuration of thousands of routes.
+	maxFrame = 8 << 20
+	// maxQueue bounds the messages that wait for a link.
+	maxQueue = 8192
+	// dialTimeout bounds the making of a link: several round trips between
+	// zones, and less than the time after which a peer counts as silent.
+	dialTimeout = 400 * time.Millisecond
+	// redialPause is the pause after a link has failed.
+	redialPause = 100 * time.Millisecond
+	// unacked is how long sent bytes may stay without an acknowledgement, and
+	// bounds a write.
+	unacked = 600 * time.Millisecond
+)
+
+// Sink receives what the links bring.
+type Sink interface {
+	// Put hands over one event. It may block for a moment.
+	Put(router.Event)
+}
+
+// Linker keeps the links of a host. Its exported fields are set before Run. It
+// is safe for concurrent use.
+type Linker struct {
+	// Self is the address under which other hosts reach this one.
+	Self  string
+	Clock clockwork.Clock
+	Log   logr.Logger
+	Sink  Sink
+
+	mutex   sync.Mutex
+	context context.Context
+	links   map[string]*link
+}
+
+// Run makes the Linker ready; links end with the context.
+func (l *Linker) Run(ctx context.Context) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.context = ctx
+	l.links = make(map[string]*link)
+}
+
+// Dial makes a link to the address unless there is one.
+func (l *Linker) Dial(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if address == l.Self || l.links[address] != nil || l.context == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(l.context)
+	k := &link{linker: l, address: address, cancel: cancel, wake: make(chan struct{}, 1)}
+	l.links[address] = k
+	go k.run(ctx)
+}
+
+// Hangup ends the link to the address.
+func (l *Linker) Hangup(address string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if k := l.links[address]; k != nil {
+		k.cancel()
+		delete(l.links, address)
+	}
+}
+
+// Redial replaces the connection of a link, which may have gone silent.
+func (l *Linker) Redial(address string) {
+	if k := l.find(address); k != nil {
+		k.reset()
+	}
+}
+
+// Send hands a message to a link. Without a connection it is dropped: the hosts
+// repeat what matters once they are linked again.
+func (l *Linker) Send(address string, m router.Message) {
+	if k := l.find(address); k != nil {
+		k.put(m)
+	}
+}
+
+func (l *Linker) find(address string) *link {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.links[address]
+}
+
+// Handler takes links of other hosts.
+func (l *Linker) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		from := q.Header.Get(headerFrom)
+		if from == "" {
+			http.Error(w, "the dialling host's address is missing; set "+headerFrom, http.StatusBadRequest)
+			return
+		}
+		c, err := websocket.Accept(w, q, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+		if err != nil {
+			l.Log.V(1).Info("link not accepted", "from", from, "error", err.Error())
+			return
+		}
+		c.SetReadLimit(maxFrame)
+		l.read(q.Context(), from, c)
+	})
+}
+
+// read hands over what a link brings until it fails.
+func (l *Linker) read(ctx context.Context, from string, c *websocket.Conn) {
+	defer c.CloseNow()
+	for {
+		_, data, err := c.Read(ctx)
+		if err != nil {
+			l.Log.V(1).Info("link ended", "from", from, "error", err.Error())
+			return
+		}
+		var messages []router.Message
+		if err := cbor.Unmarshal(data, &messages); err != nil {
+			l.Log.Info("link closed", "from", from, "reason", "unreadable frame", "bytes", len(data), "error", err.Error())
+			return
+		}
+		for _, m := range messages {
+			l.Sink.Put(router.Receive{From: from, Message: m})
+		}
+	}
+}
+
+// control bounds how long sent bytes may stay unacknowledged.
+func control(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacked.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// dialer makes the connections of all links.
+var dialer = &http.Client{Transport: &http.Transport{
+	DialContext:       (&net.Dialer{Timeout: dialTimeout, Control: control}).DialContext,
+	DisableKeepAlives: true,
+}}
--- /dev/null
+++ b/internal/loader/node.go
@@ -0,0 +1,127 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/parser"
+	"github.com/shallotrouter/shallotrouter/internal/router"
+)
+
+// Node are the settings of an entry host on the users' platform. Except for
+// Lines they do not change while the daemon runs.
+type Node struct {
+	// Name is the host's name, Zone its availability zone.
+	Name string
+	Zone string
+	// Clients, Probe, Links and Metrics are the addresses that the daemon opens
+	// for clients, the balancer, other entry hosts and monitoring. Without
+	// Metrics, Probe serves them.
+	Clients string
+	Probe   string
+	Links   string
+	Metrics string
+	// Seeds are the Links addresses of some other entry hosts. They may be
+	// stale.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store string
+	// Dial bounds the making of a connection to a target or the store, and
+	// Unacked how long sent bytes may stay unacknowledged.
+	Dial    time.Duration
+	Unacked time.Duration
+	// Connections bounds the open connections to one target.
+	Connections int
+	// Verbosity is the level of detail of the log, Lines bounds its decisions a
+	// second, and Buffer the bytes that wait to be written.
+	Verbosity int
+	Lines     int
+	Buffer    int
+	// Bounds are the limits of the router.
+	Bounds router.Bounds
+}
+
+// IsNode reports whether INI text has the settings of a Node: those of a host of
+// its own platform have no [node] section.
+func IsNode(text string) bool { return parser.Parse("", text).Has("node") }
+
+// ParseNode reads settings from INI text. The error is parser.Faults.
+func ParseNode(name, text string) (*Node, error) {
+	doc := parser.Parse(name, text)
+	v := &Node{Bounds: router.Standard()}
+	v.node(doc)
+	v.store(doc)
+	v.targets(doc)
+	v.members(doc)
+	v.log(doc)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+func (v *Node) node(doc *parser.Document) {
+	s := doc.Section("node")
+	defer s.Close()
+	v.Name = s.Need("name", "give the host a name that is unique in the deployment")
+	v.Zone = s.Need("zone", "name the host's availability zone")
+	v.Clients = s.Need("clients", "write the address for clients, such as 127.0.0.1:7100")
+	v.Probe = s.Need("probe", "write the address for the balancer, such as 127.0.0.1:7101")
+	v.Links = s.Need("links", "write the address for other entry hosts, such as 127.0.0.1:7102")
+	v.Metrics = s.Text("metrics", "")
+	for key, address := range map[string]string{"clients": v.Clients, "probe": v.Probe, "links": v.Links, "metrics": v.Metrics} {
+		checkAddress(doc, "node", key, address)
+	}
+	v.Bounds.Grace = s.Duration("grace", v.Bounds.Grace, time.Second, time.Hour)
+	v.Bounds.Linger = s.Duration("linger", v.Bounds.Linger, 0, time.Hour)
+}
+
+func (v *Node) store(doc *parser.Document) {
+	s := doc.Section("store")
+	defer s.Close()
+	v.Store = s.Need("address", "write the address of the platform's store")
+	checkAddress(doc, "store", "address", v.Store)
+	v.Bounds.Directory = s.Duration("directory", v.Bounds.Directory, 10*time.Millisecond, time.Minute)
+}
+
+func (v *Node) targets(doc *parser.Document) {
+	s := doc.Section("targets")
+	defer s.Close()
+	b := &v.Bounds
+	v.Dial = s.Duration("dial", 150*time.Millisecond, time.Millisecond, time.Minute)
+	v.Unacked = s.Duration("unacked", 500*time.Millisecond, 10*time.Millisecond, time.Minute)
+	v.Connections = s.Int("connections", 16, 2, 10_000)
+	b.Lease = s.Duration("lease", b.Lease, 100*time.Millisecond, time.Minute)
+	b.Stop = s.Duration("stop", b.Stop, time.Millisecond, time.Minute)
+	b.Split = s.Int("split", b.Split, 1, 1_000_000)
+	if b.Wait >= b.Lease-2*b.Order {
+		b.Wait = (b.Lease - 2*b.Order) / 2
+	}
+}
+
+func (v *Node) members(doc *parser.Document) {
+	s := doc.Section("members")
+	defer s.Close()
+	b := &v.Bounds
+	v.Seeds = s.List("seeds")
+	for _, address := range v.Seeds {
+		checkAddress(doc, "members", "seeds", address)
+	}
+	b.Beat = s.Duration("beat", b.Beat, 10*time.Millisecond, time.Minute)
+	b.Silence = s.Duration("silence", b.Silence, 20*time.Millisecond, time.Minute)
+	b.Trust = s.Duration("trust", b.Trust, 20*time.Millisecond, time.Minute)
+	if b.Silence < 3*b.Beat {
+		doc.Fault("members", "silence", "shorter than three heartbeats", "raise silence or lower beat")
+	}
+	if b.Trust < b.Silence {
+		doc.Fault("members", "trust", "shorter than silence", "raise trust or lower silence")
+	}
+	b.Quarantine = b.Trust + b.Lease + 3*b.Stop
+}
+
+func (v *Node) log(doc *parser.Document) {
+	s := doc.Section("log")
+	defer s.Close()
+	v.Verbosity = s.Int("verbosity", 0, 0, 9)
+	v.Lines = s.Int("lines", 3000, 1, 1_000_000)
+	v.Buffer = s.Int("buffer", 1<<20, 1<<10, 1<<30)
+}
--- /dev/null
+++ b/internal/meter/host.go
@@ -0,0 +1,92 @@
+package meter
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/shallotrouter/shallotrouter/internal/router"
+)
+
+// Host holds the metrics of an entry host on a platform of leased targets. It is
+// safe for concurrent use.
+type Host struct {
+	// Registry is what /metrics shows.
+	Registry *prometheus.Registry
+
+	Answers    *prometheus.CounterVec   // final answers to clients by outcome and reason
+	Response   *prometheus.HistogramVec // seconds from arrival to the answer by route and outcome
+	Decisions  *prometheus.CounterVec   // decisions by action
+	Orders     *prometheus.CounterVec   // answers of targets by order and result
+	OrderTime  *prometheus.HistogramVec // seconds an order took, by order
+	StoreCalls *prometheus.CounterVec   // calls to the store by call and result
+	Violations *prometheus.CounterVec   // broken invariants
+	Omitted    prometheus.Counter       // log lines left out
+	Steps      prometheus.Histogram     // seconds a step of the router
+
+	Waiting   prometheus.Gauge // waiting tasks of the held cells
+	Running   prometheus.Gauge // runs at targets of the held cells
+	Open      prometheus.Gauge // open requests of clients
+	Held      prometheus.Gauge // held cells
+	Members   prometheus.Gauge // hosts in touch, this one included
+	Version   prometheus.Gauge // configuration version in force
+	Directory prometheus.Gauge // seconds since this host read the list of targets
+}
+
+// NewHost returns a Host with a registry of its own.
+func NewHost() *Host {
+	h := &Host{
+		Registry:   prometheus.NewRegistry(),
+		Answers:    counters("answers_total", "Final answers to clients.", "outcome", "reason"),
+		Response:   histograms("answer_seconds", "Time from a job's arrival to its answer.", "route", "outcome"),
+		Decisions:  counters("decisions_total", "Decisions of the router.", "action"),
+		Orders:     counters("orders_total", "Answers of targets to orders.", "order", "result"),
+		OrderTime:  histograms("order_seconds", "Time of an order to a target.", "order"),
+		StoreCalls: counters("store_calls_total", "Calls to the platform's store.", "call", "result"),
+		Violations: counters("violations_total", "Broken invariants; any is a defect.", "invariant"),
+		Omitted:    counter("log_lines_omitted_total", "Log lines left out under a flood."),
+		Waiting:    gauge("waiting_tasks", "Tasks of the held cells that wait for room."),
+		Running:    gauge("running_tasks", "Runs at the targets of the held cells."),
+		Open:       gauge("open_jobs", "Jobs of this host's clients without an answer."),
+		Held:       gauge("held_cells", "Availability zones whose targets this host holds."),
+		Members:    gauge("members", "Entry hosts in touch, this one included."),
+		Version:    gauge("config_version", "Version of the configuration in force."),
+		Directory:  gauge("directory_age_seconds", "Time since this host read the list of targets."),
+	}
+	h.Steps = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: "step_seconds", Help: "Time of one step of the router.",
+		Buckets: prometheus.ExponentialBuckets(firstStep, 4, buckets),
+	})
+	h.Registry.MustRegister(
+		h.Answers, h.Response, h.Decisions, h.Orders, h.OrderTime, h.StoreCalls, h.Violations, h.Omitted, h.Steps,
+		h.Waiting, h.Running, h.Open, h.Held, h.Members, h.Version, h.Directory,
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return h
+}
+
+func histograms(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(firstBucket, 2, buckets),
+	}, labels)
+}
+
+// Show sets the gauges.
+func (h *Host) Show(v router.View) {
+	h.Waiting.Set(float64(v.Waiting))
+	h.Running.Set(float64(v.Running))
+	h.Open.Set(float64(v.Open))
+	h.Held.Set(float64(v.Held))
+	h.Members.Set(float64(v.Members))
+	h.Directory.Set(v.Age.Seconds())
+	if v.Config != nil {
+		h.Version.Set(float64(v.Config.Version))
+	}
+}
+
+// Order counts the answer to an order and how long it took.
+func (h *Host) Order(order, result string, took time.Duration) {
+	h.Orders.WithLabelValues(order, result).Inc()
+	h.OrderTime.WithLabelValues(order).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/router/admit.go
@@ -0,0 +1,204 @@
+package router
+
+import (
+	"math"
+	"time"
+)
+
+// history is what was learned of a route's tasks.
+type history struct {
+	count int
+	mean  float64 // seconds
+	// ratio is the mean of run time over declared run time.
+	ratio float64
+}
+
+const (
+	// historyWindow is the number of tasks over which a mean forgets.
+	historyWindow = 200
+	// historyTrust is the number of tasks after which a mean is used alone.
+	historyTrust = 20
+	// widest bounds the extra time of the longest of many tasks: at a spread of
+	// 15 % within a job, the longest of 8 takes 1.2 times the mean.
+	widestFactor = 0.1
+	// usual is the run time assumed when nothing is declared or learned.
+	usual = 300 * time.Millisecond
+	// travel is the time of the messages around a job's work: two hops between
+	// zones, an order and an answer.
+	travel = 12 * time.Millisecond
+	// lateFactor is how many times the objective an answer may take and still
+	// be of some use to the client.
+	lateFactor = 3
+	// packing is the part of the targets' processors that tasks of like size
+	// can fill.
+	packing = 0.85
+	// minRetry and maxRetry bound when a refused client may come back.
+	minRetry = 100 * time.Millisecond
+	maxRetry = 3 * time.Second
+)
+
+// learnFrom takes the run time of a task that is done.
+func (r *Router) learnFrom(n *run) {
+	j := n.job
+	ran := r.now.Sub(n.sent).Seconds()
+	h := r.learned[j.spec.Route]
+	if h == nil {
+		h = &history{}
+		r.learned[j.spec.Route] = h
+	}
+	h.count++
+	weight := 1 / float64(min(h.count, historyWindow))
+	h.mean += (ran - h.mean) * weight
+	if j.spec.Expect > 0 {
+		h.ratio += (ran/j.spec.Expect.Seconds() - h.ratio) * weight
+	}
+}
+
+// predict returns the expected run time of one task: the geometric mean of what
+// its kind takes and of what it declares, corrected by how far off that usually
+// is.
+func (r *Router) predict(spec *Job) time.Duration {
+	declared := spec.Expect
+	h := r.learned[spec.Route]
+	if h == nil || h.count < historyTrust {
+		if declared <= 0 {
+			return usual
+		}
+		return declared
+	}
+	if declared <= 0 || h.ratio <= 0 {
+		return seconds(h.mean)
+	}
+	return seconds(math.Sqrt(h.mean * declared.Seconds() * h.ratio))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// plan sets when a job's tasks must start.
+func (r *Router) plan(j *job) {
+	task := r.predict(&j.spec)
+	wide := 1 + widestFactor*math.Log(float64(max(j.spec.Count, 1)))
+	j.expect = seconds(task.Seconds()*wide) + travel
+	stretch := max(j.spec.Stretch, 1)
+	goal := j.arrived.Add(seconds(j.expect.Seconds()*stretch) + j.spec.Allowance)
+	if goal.After(j.deadline) {
+		goal = j.deadline
+	}
+	j.latest = goal.Add(-j.expect)
+}
+
+// last returns the last moment at which starting the job is of any use.
+func (j *job) last() time.Time {
+	goal := j.latest.Add(j.expect).Sub(j.arrived)
+	end := j.arrived.Add(lateFactor * goal)
+	if end.After(j.deadline) {
+		end = j.deadline
+	}
+	return end.Add(-j.expect)
+}
+
+// admit decides whether a job is taken. It is refused at once when it fits no
+// target, or cannot be in time behind the work that goes first.
+func (r *Router) admit(j *job) (Verdict, bool) {
+	v := Verdict{ID: j.spec.ID, Outcome: Refused}
+	if !r.fitsAny(&j.spec) {
+		v.Outcome, v.Reason = Failed, Misfit
+		return v, true
+	}
+	if j.begun || j.resent {
+		return v, false
+	}
+	wait := r.backlog(j)
+	if r.now.Add(wait).After(j.latest) {
+		v.Reason, v.After = Overload, min(max(r.now.Add(wait).Sub(j.latest), minRetry), maxRetry)
+		return v, true
+	}
+	return v, false
+}
+
+// fitsAny reports whether a task of the job fits a known target of its service,
+// were it idle. While no target is known, it might.
+func (r *Router) fitsAny(spec *Job) bool {
+	known := false
+	for _, t := range r.directory.Targets {
+		if t.Service != spec.Service {
+			continue
+		}
+		known = true
+		if t.Room.Fits(spec.Need) && t.has(spec.Label) {
+			return true
+		}
+	}
+	return !known
+}
+
+// backlog returns how long a job's last task would wait behind the queue.
+func (r *Router) backlog(j *job) time.Duration {
+	work := float64(j.waiting*j.spec.Need.CPU) * j.expect.Seconds()
+	free, total := r.capacity(&j.spec)
+	if r.queue.Len() == 0 && free >= j.waiting {
+		return 0
+	}
+	for _, other := range r.queue.Items() {
+		if other.spec.Service == j.spec.Service && sooner(other, j) {
+			work += float64(other.waiting*other.spec.Need.CPU) * other.expect.Seconds()
+		}
+	}
+	if total == 0 {
+		return maxRetry
+	}
+	return seconds(work / (float64(total) * packing))
+}
+
+// capacity returns how many tasks of the job could start now, and the processors
+// of all targets that could run it, in thousandths of a core.
+func (r *Router) capacity(spec *Job) (free, total int) {
+	for _, t := range r.targets {
+		if t.Service != spec.Service || !r.usable(t) {
+			continue
+		}
+		total += t.Room.CPU
+		left := t.Room.Less(t.used)
+		if spec.Need.CPU > 0 && left.Fits(spec.Need) {
+			free += left.CPU / spec.Need.CPU
+		}
+	}
+	return free, total
+}
+
+// reconsider gives up a queued job that has become hopeless.
+func (r *Router) reconsider(j *job) {
+	last := j.last()
+	if j.resent && !r.clear(j) && j.cleared.After(r.now) {
+		// Its tasks may still be found running; only time can tell.
+		last = j.deadline
+	}
+	switch {
+	case j.resent && !j.begun && r.now.Sub(j.offered) > r.Bounds.Orphan && j.cleared.Add(j.expect).After(j.deadline) && !r.clear(j):
+		r.giveUp(j, Expired) // nothing of it was found, and it cannot start in time
+	case r.now.After(last):
+		r.giveUp(j, Expired)
+	case !j.begun && !j.resent && r.now.After(j.latest) && r.pressed(j):
+		r.giveUp(j, Overload)
+	}
+}
+
+// pressed reports whether jobs that can still be in time wait for the targets
+// of this one.
+func (r *Router) pressed(j *job) bool {
+	for _, other := range r.queue.Items() {
+		if other != j && other.spec.Service == j.spec.Service && other.latest.After(r.now) {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUp ends a job: as refused while no task has started, as failed otherwise.
+func (r *Router) giveUp(j *job, reason Reason) {
+	v := Verdict{Outcome: Refused, Reason: reason, After: minRetry}
+	if j.begun {
+		v = Verdict{Outcome: Failed, Reason: reason}
+	}
+	r.end(j, v)
+}
--- /dev/null
+++ b/internal/router/bounds.go
@@ -0,0 +1,99 @@
+package router
+
+import "time"
+
+// Bounds are the limits of a router. Standard returns the usual ones.
+type Bounds struct {
+	// Tick is the longest time between two steps. It bounds how late a timeout
+	// is noticed; a fifth of a heartbeat.
+	Tick time.Duration
+	// Beat is the period of heartbeats: four fit into Silence.
+	Beat time.Duration
+	// Silence is how long a peer may be unheard. It covers a pause of a host
+	// with a small processor share (100 ms) and two lost packets (400 ms).
+	Silence time.Duration
+	// Trust is how long a holder runs the jobs of a silent host. With a stop
+	// it must end before the client sends the job again (1.3 s on the users'
+	// platform).
+	Trust time.Duration
+	// Settle is how long a starting host listens for holders before it claims
+	// a cell: the time of a connection and two heartbeats.
+	Settle time.Duration
+	// Stagger is what each further successor waits for the one before it.
+	Stagger time.Duration
+	// Merge is how long two holders must be in touch before one takes the
+	// other's cells.
+	Merge time.Duration
+	// Backoff is the first wait after a claim that was beaten or fenced; it
+	// doubles up to sixteen times.
+	Backoff time.Duration
+	// Forget is when an unheard peer no longer counts as a member.
+	Forget time.Duration
+	// Lease is how long a target runs on after the last order. The platform
+	// bounds it.
+	Lease time.Duration
+	// Drift is the greatest relative error of a target's clock. The platform
+	// states it.
+	Drift float64
+	// Wait is how long a renewal waits for an end: half a lease less an answer.
+	Wait time.Duration
+	// Idle is the period of renewals of a target that runs nothing.
+	Idle time.Duration
+	// Order bounds a Start or a Stop: twice a round trip between zones and the
+	// share of a tenth of a second that a target may be paused.
+	Order time.Duration
+	// Stop is how long a target takes to stop a run. The platform states it.
+	Stop time.Duration
+	// Orphan is how long a new holder keeps runs whose job it was not told of:
+	// two heartbeats and a message.
+	Orphan time.Duration
+	// Quarantine is how long a job that another holder had is kept from
+	// starting anew, unless all targets obey this host before: Trust, a stop
+	// and a lease.
+	Quarantine time.Duration
+	// Keep is how long verdicts are remembered for repeated submissions.
+	Keep time.Duration
+	// Directory is the period of reads of the list of targets: two fit into
+	// the time that a leaving target may still be used (2 s).
+	Directory time.Duration
+	// Absent is how long a target that the list no longer shows may be used
+	// after the store was away.
+	Absent time.Duration
+	// Grace bounds a graceful shutdown. The platform states it.
+	Grace time.Duration
+	// Linger is how long a stopping host takes requests: the balancer looks
+	// once a second and needs two misses.
+	Linger time.Duration
+	// Split is the number of targets up to which one host holds all cells. At
+	// 0.2 ms a task, 150 targets take a tenth of a core.
+	Split int
+}
+
+// Standard returns the usual bounds.
+func Standard() Bounds {
+	return Bounds{
+		Tick:       20 * time.Millisecond,
+		Beat:       100 * time.Millisecond,
+		Silence:    500 * time.Millisecond,
+		Trust:      600 * time.Millisecond,
+		Settle:     400 * time.Millisecond,
+		Stagger:    200 * time.Millisecond,
+		Merge:      time.Second,
+		Backoff:    250 * time.Millisecond,
+		Forget:     15 * time.Second,
+		Lease:      time.Second,
+		Drift:      0.02,
+		Wait:       450 * time.Millisecond,
+		Idle:       time.Second,
+		Order:      200 * time.Millisecond,
+		Stop:       50 * time.Millisecond,
+		Orphan:     400 * time.Millisecond,
+		Quarantine: 1750 * time.Millisecond,
+		Keep:       5 * time.Second,
+		Directory:  700 * time.Millisecond,
+		Absent:     2500 * time.Millisecond,
+		Grace:      6 * time.Second,
+		Linger:     2300 * time.Millisecond,
+		Split:      150,
+	}
+}
--- /dev/null
+++ b/internal/router/config.go
@@ -0,0 +1,118 @@
+package router
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Config is a whole configuration, as the operators last declared it.
+type Config struct {
+	Version  uint64    `cbor:"1,keyasint"`
+	Routes   []Route   `cbor:"2,keyasint"`
+	Services []Service `cbor:"3,keyasint"`
+	Limits   Limits    `cbor:"4,keyasint"`
+}
+
+// Route leads requests of a host name and a path prefix to a service.
+type Route struct {
+	Name    string `cbor:"1,keyasint"`
+	Host    string `cbor:"2,keyasint"`
+	Prefix  string `cbor:"3,keyasint"`
+	Service string `cbor:"4,keyasint"`
+	// Timeout bounds a request.
+	Timeout time.Duration `cbor:"5,keyasint"`
+	// Allowance is what the latency objective grants beyond the work itself,
+	// and Stretch the factor that it grants on the work.
+	Allowance time.Duration `cbor:"6,keyasint"`
+	Stretch   float64       `cbor:"7,keyasint"`
+	// Priority orders routes; 0 is the most urgent.
+	Priority int `cbor:"8,keyasint"`
+	// Attempts bounds the failed runs of a task.
+	Attempts int `cbor:"9,keyasint"`
+	// Advised tells that only an external service knows which targets may be
+	// used.
+	Advised bool `cbor:"10,keyasint,omitempty"`
+}
+
+// Service is a pool of targets.
+type Service struct {
+	Name string `cbor:"1,keyasint"`
+	// Connections bounds the open connections to one target.
+	Connections int `cbor:"2,keyasint"`
+	// Guarded tells that targets refuse tasks that do not fit.
+	Guarded bool `cbor:"3,keyasint"`
+}
+
+// Limits bound what clients send.
+type Limits struct {
+	Header int           `cbor:"1,keyasint"` // bytes
+	Body   int           `cbor:"2,keyasint"` // bytes
+	Read   time.Duration `cbor:"3,keyasint"` // for a request's header
+	Idle   time.Duration `cbor:"4,keyasint"` // between two requests
+}
+
+// Match returns the route of a request: that of its host name with the longest
+// prefix of its path.
+func (c *Config) Match(host, path string) (Route, bool) {
+	best := -1
+	for i, route := range c.Routes {
+		if route.Host != host || !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best < 0 || len(route.Prefix) > len(c.Routes[best].Prefix) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Route{}, false
+	}
+	return c.Routes[best], true
+}
+
+// Target is one entry of the platform's list of targets.
+type Target struct {
+	ID      string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Service string `cbor:"3,keyasint"`
+	Zone    string `cbor:"4,keyasint"`
+	// Draining tells that the target takes no new tasks and is about to leave.
+	Draining bool `cbor:"5,keyasint,omitempty"`
+	// Room is what the target offers its tasks.
+	Room Room `cbor:"6,keyasint"`
+	// Labels are the target's kind and its rack.
+	Labels []string `cbor:"7,keyasint,omitempty"`
+	// Born is the time of the target's start in Unix milliseconds, or 0.
+	Born int64 `cbor:"8,keyasint,omitempty"`
+}
+
+// Room is an amount of processor, memory and accelerators.
+type Room struct {
+	CPU    int `cbor:"1,keyasint"` // thousandths of a core
+	Memory int `cbor:"2,keyasint"` // MB
+	GPU    int `cbor:"3,keyasint,omitempty"`
+}
+
+// Fits reports whether need fits into r.
+func (r Room) Fits(need Room) bool {
+	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.GPU <= r.GPU
+}
+
+// Less returns r without the part.
+func (r Room) Less(part Room) Room {
+	return Room{CPU: r.CPU - part.CPU, Memory: r.Memory - part.Memory, GPU: r.GPU - part.GPU}
+}
+
+// Directory is the platform's list of targets as of one version.
+type Directory struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Targets []Target `cbor:"2,keyasint"`
+}
+
+// same reports whether two directories list the same targets in the same state.
+func (d Directory) same(other Directory) bool {
+	return slices.EqualFunc(d.Targets, other.Targets, func(a, b Target) bool {
+		return a.ID == b.ID && a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone &&
+			a.Draining == b.Draining && a.Room == b.Room && a.Born == b.Born && slices.Equal(a.Labels, b.Labels)
+	})
+}
--- /dev/null
+++ b/internal/router/effect.go
@@ -0,0 +1,138 @@
+package router
+
+import "time"
+
+// Effect is an output of Router.Step, to be carried out in order.
+type Effect interface{ effect() }
+
+// Answer is the final answer to a Submit.
+type Answer struct {
+	Request uint64
+	Verdict Verdict
+}
+
+// Cancelled answers a Cancel. Known tells whether the job was open here.
+type Cancelled struct {
+	Request uint64
+	Known   bool
+}
+
+// Pending answers a Count.
+type Pending struct {
+	Request uint64
+	// Unbegun counts the open jobs of which no task is known to have started, by
+	// route.
+	Unbegun map[string]int
+	// Open are the states of the open jobs, by ID: true for one that has begun.
+	Open map[string]bool
+}
+
+// Send hands a message to the link to another host.
+type Send struct {
+	To      string // address
+	Message Message
+}
+
+// Dial asks for links to the addresses, beside those there are.
+type Dial struct{ Addresses []string }
+
+// Hangup closes the link to a host that is gone.
+type Hangup struct{ Address string }
+
+// Redial replaces the connection to a host that does not answer.
+type Redial struct{ Address string }
+
+// Start orders a target to run a task. It is answered by one Began.
+type Start struct {
+	Target  Target
+	Token   uint64
+	Task    string
+	Run     int
+	Spec    string
+	Until   int64 // end of the lease in the target's milliseconds
+	Timeout time.Duration
+}
+
+// Stop orders a target to end a run. It is answered by one Stopped.
+type Stop struct {
+	Target  Target
+	Token   uint64
+	Task    string
+	Run     int
+	Timeout time.Duration
+}
+
+// Renew extends a target's lease and asks what runs there. It is answered by
+// one Renewed.
+type Renew struct {
+	Target Target
+	Token  uint64
+	// Acked is the number up to which ends need not be listed again.
+	Acked int
+	// Until is the end of the lease in the target's milliseconds; 0 leaves it.
+	Until int64
+	// Wait is how long the answer waits for an end.
+	Wait    time.Duration
+	Timeout time.Duration
+	// Look marks a renewal beside the one that waits.
+	Look bool
+}
+
+// Retire drops the idle connections to a target.
+type Retire struct {
+	ID string
+	// Gone tells that the target is not used again.
+	Gone bool
+}
+
+// Stake writes claims to the store, each on the condition that its row has the
+// version. It is answered by one Claimed. Inform asks for no answer and only
+// brings the store up to date.
+type Stake struct {
+	Token  uint64
+	Rows   []Stored
+	Inform bool
+}
+
+// Read asks for the list of targets. It is answered by Locate or Unread.
+type Read struct{}
+
+// Expel removes a member that has gone from the store.
+type Expel struct{ Member Member }
+
+// Decide is one decision for the log.
+type Decide struct {
+	Action string
+	Job    string
+	Task   string
+	Target string
+	// Pairs are further keys and values: inputs, their age, the outcome.
+	Pairs []any
+}
+
+// Violate reports a broken invariant. It is a defect of the program.
+type Violate struct {
+	Invariant string
+	Detail    string
+}
+
+// Halt tells that the shutdown is over and the process may end.
+type Halt struct{}
+
+func (Answer) effect()    {}
+func (Cancelled) effect() {}
+func (Pending) effect()   {}
+func (Send) effect()      {}
+func (Dial) effect()      {}
+func (Hangup) effect()    {}
+func (Redial) effect()    {}
+func (Start) effect()     {}
+func (Stop) effect()      {}
+func (Renew) effect()     {}
+func (Retire) effect()    {}
+func (Stake) effect()     {}
+func (Read) effect()      {}
+func (Expel) effect()     {}
+func (Decide) effect()    {}
+func (Violate) effect()   {}
+func (Halt) effect()      {}
--- /dev/null
+++ b/internal/router/job.go
@@ -0,0 +1,400 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/holder"
+	"github.com/shallotrouter/shallotrouter/internal/transitioner"
+)
+
+// job is a job that this host holds.
+type job struct {
+	holder.Index // place in the queue
+
+	spec    Job
+	origin  string // address of the host whose client waits
+	tasks   []task
+	waiting int // tasks to be started
+	done    int
+	// begun tells that a task may have started.
+	begun bool
+	// over tells that the verdict is out; verdict is what it was.
+	over    bool
+	verdict Verdict
+	since   time.Time // when the verdict was given
+
+	arrived  time.Time // at its own host
+	offered  time.Time // here
+	deadline time.Time
+	// expect is the expected run time of the whole job, and latest the last
+	// moment to start its tasks for an answer within the objective.
+	expect time.Duration
+	latest time.Time
+	// resent tells that another holder had the job; cleared is when its tasks
+	// may start anew even if not all targets obey this host.
+	resent  bool
+	cleared time.Time
+	zones   []string
+}
+
+// task is one task of a job.
+type task struct {
+	state  taskState
+	run    *run
+	last   int // highest run number that was used
+	failed int
+	// shunned are targets where the task has failed.
+	shunned []string
+	// notBefore and former keep the task waiting while an earlier run may go
+	// on: one at a target of another holder, one of the same job sent before.
+	notBefore time.Time
+	former    *run
+}
+
+type taskState string
+
+const (
+	taskWaiting taskState = "waiting"
+	taskActive  taskState = "active"
+	taskDone    taskState = "done"
+)
+
+type taskEvent string
+
+const (
+	taskStart  taskEvent = "start"
+	taskReturn taskEvent = "return"
+	taskFinish taskEvent = "finish"
+)
+
+// taskMachine is the life cycle of a task. A task that is done stays so.
+var taskMachine = transitioner.Compile(taskWaiting,
+	transitioner.Rule[taskState, taskEvent]{Event: taskStart, Source: []taskState{taskWaiting}, Target: taskActive},
+	transitioner.Rule[taskState, taskEvent]{Event: taskReturn, Source: []taskState{taskActive}, Target: taskWaiting},
+	transitioner.Rule[taskState, taskEvent]{Event: taskFinish, Source: []taskState{taskActive, taskWaiting, taskDone}, Target: taskDone},
+)
+
+// move changes a task's state and asserts that the change is allowed.
+func (r *Router) move(j *job, index int, event taskEvent) bool {
+	k := &j.tasks[index]
+	next, ok := taskMachine.Next(k.state, event)
+	if !ok {
+		r.violate("life of a task", "%s of %s in state %s", event, taskName(j.spec.ID, index), k.state)
+		return false
+	}
+	if k.state == taskWaiting && next != taskWaiting {
+		j.waiting--
+	}
+	if k.state != taskWaiting && next == taskWaiting {
+		j.waiting++
+	}
+	k.state = next
+	return true
+}
+
+// offered takes a job from the host of its client; nil is this host.
+func (r *Router) offered(p *peer, o *Offer) {
+	origin := r.Self
+	if p != nil {
+		origin = p.member
+	}
+	c := r.cells[origin.Zone]
+	if c == nil || !c.mine {
+		r.tell(origin.Address, Verdict{ID: o.Job.ID, Outcome: Elsewhere})
+		return
+	}
+	earlier := r.jobs[o.Job.ID]
+	if earlier != nil && !earlier.runsAnew() {
+		r.repeated(earlier, origin.Address, o)
+		return
+	}
+	j := r.accept(origin.Address, o)
+	j.succeed(earlier)
+	if v, refused := r.admit(j); refused {
+		r.emit(Decide{Action: "refuse", Job: j.spec.ID, Pairs: r.inputs(j, "reason", v.Reason, "after", v.After.String())})
+		r.tell(origin.Address, v)
+		return
+	}
+	r.emit(Decide{Action: "admit", Job: j.spec.ID, Pairs: r.inputs(j)})
+	r.jobs[j.spec.ID] = j
+	r.recall(j)
+	if r.settle(j); !j.over && j.waiting > 0 {
+		r.queue.Push(j)
+		r.dirty = true
+	}
+}
+
+// runsAnew reports whether a job has ended so that its client may have it run
+// once more.
+func (j *job) runsAnew() bool {
+	switch j.verdict.Outcome {
+	case Unknown, Refused, Elsewhere:
+		return j.over
+	}
+	return j.over && j.verdict.Reason == Withdrawn
+}
+
+// succeed makes a job wait for what still runs of its earlier submission.
+func (j *job) succeed(earlier *job) {
+	if earlier == nil {
+		return
+	}
+	for i := range min(len(j.tasks), len(earlier.tasks)) {
+		k, old := &j.tasks[i], &earlier.tasks[i]
+		k.last, k.former = max(k.last, old.last), old.run
+		if k.former == nil {
+			k.former = old.former
+		}
+	}
+}
+
+// live reports whether a run may still go on. It is false for nil.
+func (n *run) live() bool {
+	return n != nil && n.target.runs[taskName(n.job.spec.ID, n.task)] == n
+}
+
+// repeated takes a job that is known here: its client has sent it again through
+// another host, or the host has offered it under another claim.
+func (r *Router) repeated(j *job, origin string, o *Offer) {
+	j.origin = origin
+	j.deadline = later(j.deadline, r.now.Add(o.Left))
+	r.emit(Decide{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "over", j.over, "outcome", j.verdict.Outcome}})
+	if j.over {
+		r.tell(origin, j.verdict)
+	}
+}
+
+// accept makes a job of an offer.
+func (r *Router) accept(origin string, o *Offer) *job {
+	j := &job{
+		spec: o.Job, origin: origin, tasks: make([]task, o.Job.Count), waiting: o.Job.Count,
+		offered: r.now, arrived: r.now.Add(-o.Spent), deadline: r.now.Add(o.Left),
+		resent: o.Resent, zones: o.Zones,
+	}
+	j.SetPlace(-1)
+	for i := range j.tasks {
+		j.tasks[i].state, j.tasks[i].last = taskWaiting, o.Base
+	}
+	for _, i := range o.Done {
+		if i >= 0 && i < len(j.tasks) && j.tasks[i].state != taskDone {
+			r.move(j, i, taskFinish)
+			j.done++
+			j.begun = true
+		}
+	}
+	if j.resent {
+		j.cleared = r.now.Add(r.Bounds.Quarantine)
+	}
+	r.plan(j)
+	return j
+}
+
+// recall matches a job that another holder had with what targets have listed.
+func (r *Router) recall(j *job) {
+	if !j.resent {
+		return
+	}
+	for i := range j.tasks {
+		name := taskName(j.spec.ID, i)
+		for _, id := range sortedKeys(r.targets) {
+			t := r.targets[id]
+			if _, ok := t.finished[name]; ok {
+				delete(t.finished, name)
+				r.taskDone(j, i)
+			}
+			if number, ok := t.orphan[name]; ok {
+				r.adoptRun(t, j, i, Live{Task: name, Run: number})
+			}
+		}
+	}
+}
+
+// inputs returns what a decision on a job was taken from.
+func (r *Router) inputs(j *job, more ...any) []any {
+	return append([]any{
+		"route", j.spec.Route, "tasks", j.spec.Count, "cpu", j.spec.Need.CPU, "expect", j.expect.Round(time.Millisecond).String(),
+		"slack", j.latest.Sub(r.now).Round(time.Millisecond).String(), "left", j.deadline.Sub(r.now).Round(time.Millisecond).String(),
+		"queued", r.queue.Len(), "directory", r.directory.Version, "resent", j.resent,
+	}, more...)
+}
+
+// tell sends a verdict to the host of the job's client.
+func (r *Router) tell(origin string, v Verdict) {
+	if origin == r.Self.Address {
+		r.judged(origin, v)
+		return
+	}
+	if p := r.peers[origin]; p != nil {
+		r.send(p, Message{Verdict: &v})
+	}
+}
+
+// taskDone notes that a task has done its work.
+func (r *Router) taskDone(j *job, index int) {
+	k := &j.tasks[index]
+	if k.state == taskDone || j.over {
+		return
+	}
+	if k.run != nil {
+		r.surplus(k)
+	}
+	if !r.move(j, index, taskFinish) {
+		return
+	}
+	j.done++
+	j.begun = true
+	r.marks[j.origin] = append(r.marks[j.origin], Mark{ID: j.spec.ID, Task: index})
+	r.settle(j)
+}
+
+// surplus stops a run whose task is done by another.
+func (r *Router) surplus(k *task) {
+	n := k.run
+	k.run = nil
+	if n.target.runs[taskName(n.job.spec.ID, n.task)] == n {
+		r.halt(n)
+	}
+}
+
+// settle gives the verdict on a job whose end is certain.
+func (r *Router) settle(j *job) {
+	if j.over {
+		return
+	}
+	if j.done == len(j.tasks) {
+		r.end(j, Verdict{Outcome: Complete})
+		return
+	}
+	for i := range j.tasks {
+		if j.tasks[i].failed >= max(j.spec.Attempts, 1) {
+			r.end(j, Verdict{Outcome: Failed, Reason: Exhausted})
+			return
+		}
+	}
+	if j.waiting > 0 && !r.queue.Has(j) && r.jobs[j.spec.ID] == j {
+		r.queue.Push(j)
+	}
+}
+
+// end gives a job its verdict, once, and stops what still runs.
+func (r *Router) end(j *job, v Verdict) {
+	v.ID = j.spec.ID
+	if v.Outcome == Refused && j.begun {
+		r.violate("a refusal is true", "%s was begun", j.spec.ID)
+		v.Outcome = Failed
+	}
+	if v.Outcome == Complete && j.done != len(j.tasks) {
+		r.violate("complete or failed", "%s has %d of %d tasks", j.spec.ID, j.done, len(j.tasks))
+	}
+	j.over, j.verdict, j.since = true, v, r.now
+	r.queue.Remove(j)
+	r.emit(Decide{Action: "verdict", Job: j.spec.ID, Pairs: r.inputs(j, "outcome", v.Outcome, "reason", v.Reason, "done", j.done, "begun", j.begun)})
+	r.stopRuns(j)
+	r.ended = append(r.ended, j)
+	r.tell(j.origin, v)
+}
+
+// stopRuns stops everything of a job.
+func (r *Router) stopRuns(j *job) {
+	for i := range j.tasks {
+		n := j.tasks[i].run
+		if n != nil && (n.state == runRunning || n.state == runDoubtful) {
+			r.halt(n)
+		}
+	}
+}
+
+// withdrawn drops a job that nobody waits for.
+func (r *Router) withdrawn(p *peer, id string) {
+	j := r.jobs[id]
+	if j == nil || j.over {
+		return
+	}
+	if p != nil && j.origin != p.member.Address {
+		return // it has moved to another host
+	}
+	r.end(j, Verdict{Outcome: Failed, Reason: Withdrawn})
+}
+
+// dropOrigin ends the jobs of a host that is not heard any more: its clients
+// have no way to an answer, and may send the jobs to another host.
+func (r *Router) dropOrigin(address string) {
+	for _, id := range sortedKeys(r.jobs) {
+		if j := r.jobs[id]; j.origin == address && !j.over {
+			r.end(j, Verdict{Outcome: Unknown, Reason: Unheld})
+		}
+	}
+}
+
+// dropZone gives up the jobs of a zone that has another holder now. Its hosts
+// offer them there, and the new holder takes over what runs.
+func (r *Router) dropZone(zone string) {
+	for _, id := range sortedKeys(r.jobs) {
+		j := r.jobs[id]
+		if j.over || r.zoneOf(j.origin) != zone {
+			continue
+		}
+		j.over, j.since, j.verdict = true, r.now, Verdict{ID: id, Outcome: Elsewhere}
+		r.queue.Remove(j)
+		r.stopRuns(j)
+		delete(r.jobs, id)
+	}
+}
+
+func (r *Router) zoneOf(address string) string {
+	if address == r.Self.Address {
+		return r.Self.Zone
+	}
+	if p := r.peers[address]; p != nil {
+		return p.member.Zone
+	}
+	return ""
+}
+
+// strand takes a task's run away whose target has another holder, and keeps the
+// task from starting while the run may go on.
+func (r *Router) strand(j *job, index int, until time.Time) {
+	k := &j.tasks[index]
+	k.notBefore = until
+	if k.state != taskActive {
+		return
+	}
+	k.run = nil
+	r.move(j, index, taskReturn)
+	if !j.over && !r.queue.Has(j) {
+		r.queue.Push(j)
+	}
+}
+
+// watchJobs gives up jobs that cannot be served any more and forgets old ones.
+func (r *Router) watchJobs() {
+	for _, j := range slices.Clone(r.queue.Items()) {
+		r.reconsider(j)
+	}
+	for len(r.ended) > 0 && r.now.Sub(r.ended[0].since) > r.Bounds.Keep {
+		j := r.ended[0]
+		r.ended = r.ended[1:]
+		if r.jobs[j.spec.ID] == j {
+			delete(r.jobs, j.spec.ID)
+		}
+	}
+	for _, id := range sortedKeys(r.jobs) {
+		if j := r.jobs[id]; !j.over && r.now.After(j.deadline) {
+			r.end(j, Verdict{Outcome: Failed, Reason: Expired})
+		}
+	}
+}
+
+// report sends progress to the jobs' hosts.
+func (r *Router) report() {
+	for _, address := range sortedKeys(r.marks) {
+		marks := r.marks[address]
+		if address == r.Self.Address {
+			r.progressed(&Progress{Marks: marks})
+		} else if p := r.peers[address]; p != nil {
+			r.send(p, Message{Progress: &Progress{Marks: marks}})
+		}
+	}
+	clear(r.marks)
+}
--- /dev/null
+++ b/internal/router/listing.go
@@ -0,0 +1,299 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// listing takes the lists of a target's good answer.
+func (r *Router) listing(t *target, e Renewed) {
+	t.read(e.Clock)
+	if e.Born > 0 && t.born > 0 && e.Born != t.born {
+		r.reborn(t, e.Born)
+	}
+	if e.Born > 0 {
+		t.born = e.Born
+	}
+	t.fresh = later(t.fresh, e.Sent)
+	if t.misses > 0 {
+		t.misses = 0
+		r.logTarget(t, "answers")
+	}
+	if !t.fenced {
+		t.fenced, t.found = true, r.now
+		r.logTarget(t, "fenced", "token", t.token, "running", len(e.Running), "ended", len(e.Ended))
+	}
+	for _, end := range e.Ended {
+		if end.Number > t.acked {
+			t.acked = end.Number
+			r.endOf(t, end)
+		}
+	}
+	if e.Clock.Millis >= t.listing { // answers on other connections may overtake
+		t.listing = e.Clock.Millis
+		r.compare(t, e)
+		r.clearOrphans(t)
+	}
+	r.dirty = true
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// endOf takes one end.
+func (r *Router) endOf(t *target, end End) {
+	delete(t.orphan, end.Task)
+	n := t.runs[end.Task]
+	if n != nil && n.number == end.Run {
+		r.over(n, end.How)
+		return
+	}
+	if end.How != Done {
+		return
+	}
+	id, index, ok := splitTask(end.Task)
+	if !ok {
+		return
+	}
+	if j := r.jobs[id]; j != nil && index < len(j.tasks) {
+		r.taskDone(j, index)
+		return
+	}
+	t.finished[end.Task] = end
+}
+
+// compare holds what is listed as running against what is known.
+func (r *Router) compare(t *target, e Renewed) {
+	listed := make(map[string]int, len(e.Running))
+	for _, live := range e.Running {
+		listed[live.Task] = live.Run
+	}
+	for _, name := range sortedKeys(t.runs) {
+		n := t.runs[name]
+		if _, there := listed[name]; !there && !n.settled.IsZero() && e.Sent.After(n.settled) {
+			r.over(n, Lapsed)
+		}
+	}
+	for name := range t.orphan {
+		if _, there := listed[name]; !there {
+			delete(t.orphan, name)
+		}
+	}
+	for _, live := range e.Running {
+		if n := t.runs[live.Task]; n != nil && n.number >= live.Run {
+			continue
+		}
+		r.unknownRun(t, live)
+	}
+}
+
+// unknownRun takes a run that this host did not start: of an earlier holder, or
+// an order that was carried out late.
+func (r *Router) unknownRun(t *target, live Live) {
+	id, index, ok := splitTask(live.Task)
+	if j := r.jobs[id]; ok && j != nil && r.adoptRun(t, j, index, live) {
+		return
+	}
+	t.orphan[live.Task] = live.Run
+}
+
+// adoptRun makes a run of an earlier holder one of this host's, if its task
+// still needs it.
+func (r *Router) adoptRun(t *target, j *job, index int, live Live) bool {
+	if index >= len(j.tasks) || j.over || j.tasks[index].state != taskWaiting || !r.now.After(j.tasks[index].notBefore) && !j.resent {
+		return false
+	}
+	k := &j.tasks[index]
+	n := &run{job: j, task: index, number: live.Run, target: t, need: j.spec.Need, state: runRunning, sent: r.now, settled: r.now}
+	r.move(j, index, taskStart)
+	k.run, k.last, j.begun = n, max(k.last, live.Run), true
+	t.runs[live.Task] = n
+	t.used = t.used.plus(n.need)
+	delete(t.orphan, live.Task)
+	r.emit(Decide{Action: "takeover", Job: j.spec.ID, Task: live.Task, Target: t.ID, Pairs: []any{"run", live.Run}})
+	return true
+}
+
+func (r Room) plus(part Room) Room {
+	return Room{CPU: r.CPU + part.CPU, Memory: r.Memory + part.Memory, GPU: r.GPU + part.GPU}
+}
+
+// clearOrphans stops runs that nobody has claimed in time.
+func (r *Router) clearOrphans(t *target) {
+	if len(t.orphan) == 0 || r.now.Sub(t.found) < r.Bounds.Orphan || r.now.Sub(t.swept) < stopRetry {
+		return
+	}
+	t.swept = r.now
+	for _, name := range sortedKeys(t.orphan) {
+		r.stopOrphan(t, name, t.orphan[name])
+	}
+	r.look(t)
+}
+
+func (r *Router) stopOrphan(t *target, task string, number int) {
+	r.emit(Decide{Action: "stop", Task: task, Target: t.ID, Pairs: []any{"run", number, "reason", "nobody waits for it"}})
+	r.emit(Stop{Target: t.Target, Token: t.token, Task: task, Run: number, Timeout: r.Bounds.Order})
+}
+
+// began takes the answer to a start.
+func (r *Router) began(e Began) {
+	t := r.targets[e.Target]
+	if t == nil {
+		return
+	}
+	t.read(e.Clock)
+	n := t.runs[e.Task]
+	if n == nil || n.number != e.Run || n.state != runStarting {
+		return
+	}
+	if e.Result != Running {
+		r.emit(Decide{Action: "start", Job: n.job.spec.ID, Task: e.Task, Target: t.ID, Pairs: []any{
+			"run", e.Run, "outcome", e.Result, "took", r.since(n.sent),
+		}})
+	}
+	switch e.Result {
+	case Running:
+		n.state, n.settled = runRunning, r.now
+		if n.job.over || n.job.tasks[n.task].run != n {
+			r.halt(n)
+		}
+	case Fenced:
+		r.unstarted(n)
+		r.repelled(t, t.token)
+	case Outdated:
+		n.job.tasks[n.task].last += runStride
+		r.unstarted(n)
+	case Belated:
+		r.unstarted(n)
+		r.look(t)
+	case Crowded:
+		r.unstarted(n)
+		t.barred = later(t.barred, r.now.Add(crowdedFor))
+		r.look(t)
+	case Unhealthy:
+		r.unstarted(n)
+		r.bar(t, unhealthyFor, "unhealthy")
+	case Unsent:
+		r.unstarted(n)
+		t.misses++
+		r.renew(t)
+	case Invalid:
+		r.over(n, Broke)
+	case Replaced:
+		r.unstarted(n)
+		r.replaced(t)
+	case Doubtful:
+		n.state = runDoubtful
+		r.halt(n)
+		r.emit(Retire{ID: t.ID})
+		r.look(t)
+	}
+	r.dirty = true
+}
+
+// halt orders a run to stop.
+func (r *Router) halt(n *run) {
+	if n.state == runRunning {
+		n.state = runStopping
+	}
+	n.stopAt = r.now
+	n.settled = time.Time{}
+	r.emit(Stop{Target: n.target.Target, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.Bounds.Order})
+}
+
+// stopped takes the answer to a stop: the run is over once a list that is asked
+// for from now on lacks it.
+func (r *Router) stopped(e Stopped) {
+	t := r.targets[e.Target]
+	if t == nil {
+		return
+	}
+	n := t.runs[e.Task]
+	if n == nil || n.number != e.Run || !e.Good {
+		return
+	}
+	n.settled = r.now
+	r.look(t)
+}
+
+// bar leaves a target out for a while.
+func (r *Router) bar(t *target, span time.Duration, why string) {
+	t.barred, t.trial = r.now.Add(span), true
+	r.logTarget(t, "barred", "reason", why, "span", span.String(), "failures", t.failures)
+}
+
+// freed takes a run out of its target's books.
+func (r *Router) freed(n *run) {
+	name := taskName(n.job.spec.ID, n.task)
+	if n.target.runs[name] != n {
+		return
+	}
+	delete(n.target.runs, name)
+	n.target.used = n.target.used.Less(n.need)
+	if n.target.used.CPU < 0 {
+		r.violate("room of a target", "%s has %d in use", n.target.ID, n.target.used.CPU)
+	}
+	r.dirty = true
+}
+
+// unstarted takes a run back that has not begun and never will.
+func (r *Router) unstarted(n *run) {
+	r.freed(n)
+	r.takeBack(n, false)
+}
+
+// takeBack makes a task wait again after its run.
+func (r *Router) takeBack(n *run, failed bool) {
+	k := &n.job.tasks[n.task]
+	if k.run != n {
+		return
+	}
+	k.run = nil
+	r.move(n.job, n.task, taskReturn)
+	if failed {
+		k.failed++
+		k.shunned = append(k.shunned, n.target.ID)
+	}
+	r.settle(n.job)
+}
+
+// over ends a run for good.
+func (r *Router) over(n *run, how Manner) {
+	r.freed(n)
+	j := n.job
+	if n.state != runDoubtful && !j.over {
+		r.judge(n, how)
+	}
+	if how != Done || j.over {
+		r.emit(Decide{Action: "end", Job: j.spec.ID, Task: taskName(j.spec.ID, n.task), Target: n.target.ID, Pairs: []any{
+			"run", n.number, "how", how, "ran", r.since(n.sent), "state", n.state,
+		}})
+	}
+	if how == Done {
+		r.learnFrom(n)
+		r.taskDone(j, n.task)
+		return
+	}
+	r.takeBack(n, how == Broke)
+}
+
+// judge counts for and against a target.
+func (r *Router) judge(n *run, how Manner) {
+	t := n.target
+	switch how {
+	case Done:
+		t.failures, t.trial = 0, false
+	case Broke:
+		t.failures++
+		if t.failures >= failuresToBar || t.trial {
+			r.bar(t, barFor, "failing")
+		}
+	}
+}
+
+// shuns reports whether a target is shunned for a task.
+func (k *task) shuns(id string) bool { return slices.Contains(k.shunned, id) }
--- /dev/null
+++ b/internal/router/peer.go
@@ -0,0 +1,246 @@
+package router
+
+import (
+	"time"
+)
+
+// peer is another entry host as this one knows it.
+type peer struct {
+	member Member
+	// sent is the newest time on the peer's clock that was heard, and echoed
+	// the newest time of this host that came back.
+	sent   int64
+	echoed time.Time
+	since  time.Time // in touch without a break since then
+	heard  time.Time // last message
+	// leaving tells that the peer is shutting down.
+	leaving   bool
+	config    uint64
+	directory uint64
+	age       time.Duration
+	met       bool // has been in touch in this life
+	trusted   bool // jobs of its clients may run
+	redialled time.Time
+}
+
+// reaches reports whether messages pass both ways: a time of this host's clock
+// that came back is no older than the bound. It holds through one-way cuts,
+// frozen peers and delayed messages alike.
+func (r *Router) reaches(p *peer) bool {
+	return !p.echoed.IsZero() && r.now.Sub(p.echoed) <= r.Bounds.Silence
+}
+
+// trusts reports whether the jobs of the peer's clients may run on.
+func (r *Router) trusts(p *peer) bool {
+	return !p.echoed.IsZero() && r.now.Sub(p.echoed) <= r.Bounds.Trust
+}
+
+func (r *Router) sortedPeers() []*peer {
+	list := make([]*peer, 0, len(r.peers))
+	for _, address := range sortedKeys(r.peers) {
+		list = append(list, r.peers[address])
+	}
+	return list
+}
+
+func (r *Router) send(p *peer, m Message) { r.emit(Send{To: p.member.Address, Message: m}) }
+
+// meet makes sure that a member is known and dialled.
+func (r *Router) meet(m Member) *peer {
+	if m.Address == r.Self.Address || m.Address == "" {
+		return nil
+	}
+	p := r.peers[m.Address]
+	if p == nil {
+		p = &peer{member: m, heard: r.now}
+		r.peers[m.Address] = p
+		r.emit(Dial{Addresses: []string{m.Address}})
+	}
+	return p
+}
+
+// receive takes a message of a peer.
+func (r *Router) receive(e Receive) {
+	if b := e.Message.Beat; b != nil {
+		r.hear(b)
+		return
+	}
+	p := r.peers[e.From]
+	if p == nil {
+		return // its heartbeat comes first
+	}
+	switch m := e.Message; {
+	case m.Offer != nil:
+		r.offered(p, m.Offer)
+	case m.Withdraw != nil:
+		r.withdrawn(p, m.Withdraw.ID)
+	case m.Verdict != nil:
+		r.judged(p.member.Address, *m.Verdict)
+	case m.Progress != nil:
+		r.progressed(m.Progress)
+	case m.Config != nil:
+		r.adopt(m.Config, "peer")
+	case m.Directory != nil:
+		r.take(*m.Directory, r.now.Add(-p.age), "peer")
+	}
+}
+
+// hear takes a heartbeat.
+func (r *Router) hear(b *Beat) {
+	p := r.meet(b.Member)
+	if p == nil {
+		return
+	}
+	if b.Member.Life < p.member.Life {
+		return // a message of an earlier process
+	}
+	if b.Member.Life > p.member.Life && p.met {
+		r.emit(Decide{Action: "peer", Pairs: []any{"host", b.Member.Name, "state", "restarted"}})
+		r.dropOrigin(p.member.Address)
+		*p = peer{heard: r.now}
+	}
+	p.member = b.Member
+	r.cell(b.Member.Zone)
+	p.heard = r.now
+	p.sent = max(p.sent, b.Sent)
+	if echo := time.Unix(0, b.Echo); b.Echo != 0 && echo.After(p.echoed) && !echo.Before(r.started) && !echo.After(r.now) {
+		p.echoed = echo
+	}
+	p.leaving, p.config, p.directory, p.age = b.Leaving, b.Config, b.Directory, b.Age
+	r.generation = max(r.generation, b.Generation)
+	for _, c := range b.Claims {
+		r.learn(c)
+	}
+	if r.reaches(p) {
+		r.inTouch(p)
+	}
+}
+
+// inTouch notes that messages pass both ways and passes on what the peer lacks.
+func (r *Router) inTouch(p *peer) {
+	p.trusted = true
+	if p.since.IsZero() {
+		p.since = r.now
+		p.met = true
+		r.emit(Decide{Action: "peer", Pairs: []any{"host", p.member.Name, "zone", p.member.Zone, "state", "reached"}})
+	}
+	if r.config != nil && p.config < r.config.Version {
+		p.config = r.config.Version
+		r.send(p, Message{Config: r.config})
+	}
+	if len(r.directory.Targets) > 0 && p.directory < r.directory.Version {
+		p.directory = r.directory.Version
+		d := r.directory
+		r.send(p, Message{Directory: &d})
+	}
+}
+
+// watchPeers notes which peers have fallen silent, and forgets those that
+// have been for long.
+func (r *Router) watchPeers() {
+	for _, p := range r.sortedPeers() {
+		if !p.since.IsZero() && !r.reaches(p) {
+			p.since = time.Time{}
+			r.emit(Decide{Action: "peer", Pairs: []any{
+				"host", p.member.Name, "state", "silent", "age", r.now.Sub(p.echoed).String(), "bound", r.Bounds.Silence.String(),
+			}})
+		}
+		if p.met && r.now.Sub(p.echoed) > r.Bounds.Silence/2 && r.now.Sub(p.redialled) > r.Bounds.Silence {
+			p.redialled = r.now
+			r.emit(Redial{Address: p.member.Address})
+		}
+		if p.trusted && !r.trusts(p) {
+			p.trusted = false
+			r.dropOrigin(p.member.Address)
+		}
+		if r.now.Sub(p.heard) > r.Bounds.Forget {
+			r.forget(p)
+		}
+	}
+}
+
+// linked repeats what may have been lost with an earlier connection: offers to
+// the peer and verdicts for it. Both are taken once only.
+func (r *Router) linked(address string) {
+	p := r.peers[address]
+	if p == nil {
+		p = r.meet(Member{Address: address})
+	}
+	if p == nil {
+		return
+	}
+	r.beatTo(p)
+	for _, id := range sortedKeys(r.requests) {
+		if q := r.requests[id]; q.holder == address {
+			r.sendOffer(p, q)
+		}
+	}
+	for _, j := range r.ended {
+		if j.origin == address && r.jobs[j.spec.ID] == j {
+			r.tell(address, j.verdict)
+		}
+	}
+}
+
+// severed notes that a peer's process has gone, without waiting for its silence.
+func (r *Router) severed(address string) {
+	if p := r.peers[address]; p != nil && r.reaches(p) {
+		p.echoed = p.echoed.Add(-r.Bounds.Silence)
+	}
+}
+
+// forget drops a peer. The first holder also removes it from the store.
+func (r *Router) forget(p *peer) {
+	delete(r.peers, p.member.Address)
+	r.emit(Hangup{Address: p.member.Address})
+	r.emit(Decide{Action: "peer", Pairs: []any{"host", p.member.Name, "state", "forgotten"}})
+	if c := r.cells[r.Self.Zone]; c != nil && c.mine && p.member.Slot > 0 {
+		r.emit(Expel{Member: p.member})
+	}
+}
+
+// beat sends heartbeats when they are due.
+func (r *Router) beat() {
+	if r.now.Sub(r.beaten) < r.Bounds.Beat {
+		return
+	}
+	r.beatNow()
+}
+
+// beatNow sends a heartbeat to every peer.
+func (r *Router) beatNow() {
+	r.beaten = r.now
+	for _, p := range r.sortedPeers() {
+		r.beatTo(p)
+	}
+}
+
+// claims returns the cells whose holders are known.
+func (r *Router) claims() []Claim {
+	var claims []Claim
+	for _, zone := range sortedKeys(r.cells) {
+		if c := r.cells[zone]; c.claim.Token > 0 {
+			claims = append(claims, c.claim)
+		}
+	}
+	return claims
+}
+
+// beatTo sends a heartbeat to one peer.
+func (r *Router) beatTo(p *peer) {
+	age := r.now.Sub(r.located)
+	if r.located.IsZero() {
+		age = never
+	}
+	version := uint64(0)
+	if r.config != nil {
+		version = r.config.Version
+	}
+	r.send(p, Message{Beat: &Beat{
+		Member: r.Self, Sent: r.now.UnixNano(), Echo: p.sent, Leaving: !r.leaving.IsZero(), Generation: r.generation,
+		Claims: r.claims(), Config: version, Directory: r.directory.Version, Age: age,
+	}})
+}
+
+// never is the age of a directory that was not read yet.
+const never = 24 * time.Hour
--- /dev/null
+++ b/internal/router/place.go
@@ -0,0 +1,172 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// sooner orders the queue: jobs that have begun come first, then those that
+// must start first; jobs that are late already come last.
+func sooner(a, b *job) bool {
+	if a.begun != b.begun {
+		return a.begun
+	}
+	if !a.latest.Equal(b.latest) {
+		return a.latest.Before(b.latest)
+	}
+	return a.spec.ID < b.spec.ID
+}
+
+// place starts as many waiting tasks as there is room for.
+func (r *Router) place() {
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
+	if r.queue.Len() == 0 {
+		return
+	}
+	list := slices.Clone(r.queue.Items())
+	slices.SortFunc(list, func(a, b *job) int {
+		lateA, lateB := r.now.After(a.latest) && !a.begun, r.now.After(b.latest) && !b.begun
+		switch {
+		case lateA != lateB && lateA:
+			return 1
+		case lateA != lateB:
+			return -1
+		case sooner(a, b):
+			return -1
+		}
+		return 1
+	})
+	full := make(map[string]int) // least processor need that found no room, by service
+	for _, j := range list {
+		if least, ok := full[j.spec.Service]; ok && j.spec.Need.CPU >= least && j.spec.Label == "" {
+			continue
+		}
+		if !r.placeJob(j) && j.spec.Label == "" {
+			full[j.spec.Service] = j.spec.Need.CPU
+		}
+	}
+}
+
+// placeJob starts the waiting tasks of a job and reports whether all found room.
+func (r *Router) placeJob(j *job) bool {
+	if c := r.cells[r.zoneOf(j.origin)]; c == nil || !c.mine || j.resent && !r.clear(j) {
+		return true
+	}
+	for i := range j.tasks {
+		k := &j.tasks[i]
+		if k.state != taskWaiting || r.now.Before(k.notBefore) || k.former.live() {
+			continue
+		}
+		t := r.choose(j, k)
+		if t == nil {
+			return len(k.shunned) > 0
+		}
+		r.start(j, i, t)
+	}
+	if j.waiting == 0 {
+		r.queue.Remove(j)
+	}
+	return true
+}
+
+// clear reports whether no run of an earlier holder can start or go on unseen:
+// all targets of its zones obey this host, or the time for it has passed.
+func (r *Router) clear(j *job) bool {
+	if r.now.After(j.cleared) {
+		return true
+	}
+	for _, entry := range r.directory.Targets {
+		if !slices.Contains(j.zones, entry.Zone) {
+			continue
+		}
+		if t := r.targets[entry.ID]; t == nil || !t.fenced {
+			return false
+		}
+	}
+	return true
+}
+
+// choose returns the target for a task: the one whose room the task fills best,
+// so that wide tasks still find room; nil if there is none.
+func (r *Router) choose(j *job, k *task) *target {
+	var best *target
+	bestLeft := 0
+	for _, t := range r.targets {
+		if t.Service != j.spec.Service || !t.has(j.spec.Label) || k.shuns(t.ID) {
+			continue
+		}
+		left := t.Room.Less(t.used)
+		if !left.Fits(j.spec.Need) || !r.usable(t) || r.crowds(j, t) {
+			continue
+		}
+		score := left.CPU - j.spec.Need.CPU
+		if j.spec.Rack != "" && !t.has(j.spec.Rack) {
+			score += farPenalty
+		}
+		if best == nil || score < bestLeft || score == bestLeft && t.ID < best.ID {
+			best, bestLeft = t, score
+		}
+	}
+	return best
+}
+
+// farPenalty outweighs any difference of room, in thousandths of a core: away
+// from its data a task takes several times as long.
+const farPenalty = 1_000_000
+
+// has reports whether a target has a label; the empty one is had by all.
+func (t *Target) has(label string) bool { return label == "" || slices.Contains(t.Labels, label) }
+
+// crowds reports whether a target has its share of a job's tasks.
+func (r *Router) crowds(j *job, t *target) bool {
+	if j.spec.Spread <= 0 {
+		return false
+	}
+	count := 0
+	for _, n := range t.runs {
+		if n.job == j {
+			count++
+		}
+	}
+	return count >= j.spec.Spread
+}
+
+// start orders a target to run a task.
+func (r *Router) start(j *job, index int, t *target) {
+	k := &j.tasks[index]
+	if k.run != nil {
+		r.violate("one run a task", "%s runs at %s", taskName(j.spec.ID, index), k.run.target.ID)
+		return
+	}
+	if !r.move(j, index, taskStart) {
+		return
+	}
+	name := taskName(j.spec.ID, index)
+	if old := t.runs[name]; old != nil {
+		r.violate("one run a task", "%s is still known at %s", name, t.ID)
+	}
+	k.last++
+	n := &run{job: j, task: index, number: k.last, target: t, need: j.spec.Need, state: runStarting, sent: r.now}
+	k.run = n
+	t.runs[name] = n
+	t.used = t.used.plus(n.need)
+	if !j.begun {
+		j.begun = true
+	}
+	r.hold(t)
+	r.emit(Decide{Action: "place", Job: j.spec.ID, Task: name, Target: t.ID, Pairs: []any{
+		"run", n.number, "token", t.token, "free", t.Room.CPU - t.used.CPU, "need", n.need.CPU, "age", r.now.Sub(t.fresh).Round(time.Millisecond).String(),
+		"waited", r.now.Sub(j.offered).Round(time.Millisecond).String(),
+	}})
+	r.emit(Start{
+		Target: t.Target, Token: t.token, Task: name, Run: n.number, Spec: j.spec.Spec,
+		Until: t.until(r.now, r.Bounds.Lease), Timeout: r.Bounds.Order,
+	})
+	if !t.waiting {
+		t.next = time.Time{}
+		r.renew(t)
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,230 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/holder"
+)
+
+// Router is the state of one entry host. The exported fields are set before the
+// first Step. It is not safe for concurrent use.
+type Router struct {
+	// Self is this process; its slot comes with Enrol.
+	Self Member
+	// Bounds are the limits.
+	Bounds Bounds
+	// Seeds are addresses of other entry hosts known from the start.
+	Seeds []string
+
+	now     time.Time
+	started time.Time
+	effects []Effect
+
+	config    *Config
+	directory Directory
+	located   time.Time // when the directory was last read by this host
+	asked     time.Time // when it was last asked for
+	outage    time.Time // when reads of the directory began to fail
+
+	life       int // tells this process's tokens from those of its earlier lives
+	generation uint64
+	peers      map[string]*peer // by address
+	beaten     time.Time        // last heartbeat sent
+	cells      map[string]*cell // by zone
+	stake      *stake           // the claim under way
+
+	open     map[uint64]*request
+	requests map[string]*request // by job
+
+	jobs    map[string]*job
+	queue   holder.Heap[*job]
+	targets map[string]*target
+	ended   []*job // oldest first
+	marks   map[string][]Mark
+	learned map[string]*history // by route
+	dirty   bool                // something may be placed
+
+	lost    map[string]time.Time // when the jobs of a lost cell are dropped, by zone
+	leaving time.Time            // when the shutdown began
+	halted  bool
+}
+
+// Step applies one event at a time that never goes back and returns the effects.
+func (r *Router) Step(now time.Time, e Event) []Effect {
+	r.effects = nil
+	r.init(now)
+	if now.After(r.now) {
+		r.now = now
+	}
+	r.apply(e)
+	r.dropLost()
+	r.place()
+	return r.effects
+}
+
+func (r *Router) init(now time.Time) {
+	if r.peers != nil {
+		return
+	}
+	r.started, r.now = now, now
+	r.peers = make(map[string]*peer)
+	r.cells = make(map[string]*cell)
+	r.open = make(map[uint64]*request)
+	r.requests = make(map[string]*request)
+	r.jobs = make(map[string]*job)
+	r.targets = make(map[string]*target)
+	r.marks = make(map[string][]Mark)
+	r.learned = make(map[string]*history)
+	r.lost = make(map[string]time.Time)
+	r.queue.Less = sooner
+	r.cell(r.Self.Zone)
+	if len(r.Seeds) > 0 {
+		r.emit(Dial{Addresses: r.Seeds})
+	}
+}
+
+func (r *Router) apply(e Event) {
+	switch e := e.(type) {
+	case Tick:
+		r.tick()
+	case Submit:
+		r.submit(e)
+	case Abandon:
+		r.abandon(e)
+	case Cancel:
+		r.cancel(e)
+	case Count:
+		r.count(e)
+	case Receive:
+		r.receive(e)
+	case Adopt:
+		r.adopt(e.Config, "store")
+	case Locate:
+		r.locate(e)
+	case Unread:
+		r.unread()
+	case Enrol:
+		r.enrol(e)
+	case Claimed:
+		r.claimed(e)
+	case Began:
+		r.began(e)
+	case Stopped:
+		r.stopped(e)
+	case Renewed:
+		r.renewed(e)
+	case Linked:
+		r.linked(e.Address)
+	case Severed:
+		r.severed(e.Address)
+	case Drain:
+		r.drain()
+	}
+}
+
+// tick does what time brings about.
+func (r *Router) tick() {
+	r.watchPeers()
+	r.beat()
+	r.follow()
+	r.contend()
+	r.refresh()
+	r.watchTargets()
+	r.watchJobs()
+	r.watchRequests()
+	r.report()
+	r.finish()
+}
+
+func (r *Router) emit(e Effect) { r.effects = append(r.effects, e) }
+
+func (r *Router) violate(invariant, format string, args ...any) {
+	r.emit(Violate{Invariant: invariant, Detail: fmt.Sprintf(format, args...)})
+}
+
+// View is the part of the state that other goroutines read.
+type View struct {
+	Config *Config
+	// Ready tells whether the host serves: it has a configuration and reaches
+	// the holder of its zone's cell.
+	Ready bool
+	// Lingering tells that the host is shutting down.
+	Lingering bool
+	// Members are the hosts in touch, this one included, and Held the cells of
+	// this host.
+	Members, Held int
+	// Waiting and Running count tasks of this host's cells.
+	Waiting, Running int
+	// Open counts requests of this host's clients.
+	Open int
+	// Age is the time since this host read the list of targets.
+	Age time.Duration
+}
+
+// View returns the current view.
+func (r *Router) View() View {
+	v := View{Config: r.config, Lingering: !r.leaving.IsZero(), Members: 1, Open: len(r.open)}
+	v.Ready = r.config != nil && r.leaving.IsZero() && r.holderOf(r.Self.Zone) != nil
+	for _, p := range r.peers {
+		if r.reaches(p) {
+			v.Members++
+		}
+	}
+	for _, c := range r.cells {
+		if c.mine {
+			v.Held++
+		}
+	}
+	for _, j := range r.queue.Items() {
+		v.Waiting += j.waiting
+	}
+	for _, t := range r.targets {
+		v.Running += len(t.runs)
+	}
+	if !r.located.IsZero() {
+		v.Age = r.now.Sub(r.located)
+	}
+	return v
+}
+
+// adopt takes a configuration with a higher version and passes it on.
+func (r *Router) adopt(c *Config, source string) {
+	if c == nil || r.config != nil && c.Version <= r.config.Version {
+		return
+	}
+	r.config = c
+	r.emit(Decide{Action: "configure", Pairs: []any{"version", c.Version, "routes", len(c.Routes), "source", source}})
+	for _, p := range r.sortedPeers() {
+		if r.reaches(p) && p.config < c.Version {
+			p.config = c.Version
+			r.send(p, Message{Config: c})
+		}
+	}
+}
+
+// taskName returns the name of a job's task; there is one step, without repeats.
+func taskName(job string, task int) string { return job + ".0.0." + strconv.Itoa(task) }
+
+// splitTask is the inverse of taskName.
+func splitTask(name string) (job string, task int, ok bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return "", 0, false
+	}
+	task, err := strconv.Atoi(parts[3])
+	return parts[0], task, err == nil
+}
+
+// sortedKeys returns a map's keys in order, so that steps repeat exactly.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/router/target.go
@@ -0,0 +1,428 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// target is one target of a cell that this host holds.
+type target struct {
+	Target
+	token uint64 // this host's claim
+	// fenced tells that the target has taken the token: no other host's order
+	// with a lower one does anything there any more.
+	fenced  bool
+	fresh   time.Time // when the last good answer was asked for
+	clock   Reading
+	lapses  time.Time // when everything there has lapsed without further orders
+	acked   int
+	born    int64
+	runs    map[string]*run // by task
+	used    Room
+	orphan  map[string]int // number of each run listed there that nobody here knows, by task
+	swept   time.Time      // when orphans were last stopped
+	listing int64          // target's clock of the newest list
+	// finished are ends of tasks whose job this host was not told of yet.
+	finished map[string]End
+	found    time.Time // when it was fenced
+	waiting  bool      // a renewal is under way
+	looking  bool      // a renewal beside that one is under way
+	again    bool      // look once more
+	misses   int       // renewals without an answer in a row
+	next     time.Time // no renewal before
+	listed   bool      // stands in the directory
+	unlisted time.Time // since when it does not
+	// failures counts jobs in a row that failed here; a target that fails all
+	// is left out until a trial succeeds.
+	failures int
+	barred   time.Time // no starts before
+	trial    bool      // the next start is a trial
+}
+
+// run is one start of a task at a target.
+type run struct {
+	job    *job
+	task   int
+	number int
+	target *target
+	need   Room
+	state  runState
+	sent   time.Time
+	// settled is when an answer proved what the target's lists must show: a
+	// list asked for later that lacks the run means that it is over.
+	settled time.Time
+	stopAt  time.Time // when the last Stop left
+}
+
+type runState string
+
+const (
+	runStarting runState = "starting"
+	runRunning  runState = "running"
+	runDoubtful runState = "doubtful" // no answer to the start
+	runStopping runState = "stopping"
+)
+
+const (
+	// renewRetry is the pause after a renewal without an answer.
+	renewRetry = 50 * time.Millisecond
+	// renewSlack is how long an answer to a renewal may take beyond its wait:
+	// as long as an order.
+	lapseSlack = 50 * time.Millisecond
+	// stopRetry is the pause between two Stops of one run.
+	stopRetry = 150 * time.Millisecond
+	// failuresToBar is how many jobs in a row must fail at a target before it
+	// is left out. Tasks fail by their own fault in 2 of 1,000 runs.
+	failuresToBar = 2
+	// barFor is how long a failing target is left out before a trial.
+	barFor = 1500 * time.Millisecond
+	// unhealthyFor is how long a target that refuses as unhealthy is left out.
+	unhealthyFor = 500 * time.Millisecond
+	// crowdedFor is how long a target that had no room is left out, unless a
+	// list of its runs comes first.
+	crowdedFor = 100 * time.Millisecond
+)
+
+// syncTargets follows the directory and the held cells.
+func (r *Router) syncTargets() {
+	seen := make(map[string]bool, len(r.directory.Targets))
+	for _, entry := range r.directory.Targets {
+		seen[entry.ID] = true
+		c := r.cell(entry.Zone)
+		if !c.mine {
+			continue
+		}
+		r.enlist(entry, c)
+	}
+	for _, id := range sortedKeys(r.targets) {
+		t := r.targets[id]
+		if !seen[id] && t.listed {
+			t.listed, t.unlisted = false, r.now
+			r.logTarget(t, "unlisted")
+		}
+	}
+	r.dirty = true
+}
+
+// enlist takes a directory entry of a held cell.
+func (r *Router) enlist(entry Target, c *cell) {
+	t := r.targets[entry.ID]
+	if t == nil {
+		t = &target{Target: entry, runs: make(map[string]*run), orphan: make(map[string]int), finished: make(map[string]End)}
+		r.targets[entry.ID] = t
+	}
+	if entry.Draining != t.Draining {
+		r.logTarget(t, "draining")
+	}
+	if entry.Born > t.Born && t.Born > 0 && entry.Born > t.born {
+		r.reborn(t, entry.Born)
+	}
+	t.Target, t.listed = entry, true
+	if t.token != c.claim.Token {
+		t.token, t.fenced, t.next = c.claim.Token, false, time.Time{}
+		t.orphan, t.finished = make(map[string]int), make(map[string]End)
+		r.renew(t)
+	}
+}
+
+// logTarget logs a change of what is believed of a target.
+func (r *Router) logTarget(t *target, state string, pairs ...any) {
+	r.emit(Decide{Action: "target", Target: t.ID, Pairs: append([]any{"state", state, "runs", len(t.runs), "age", r.since(t.fresh)}, pairs...)})
+}
+
+// reborn forgets what ran in an earlier life of a target.
+func (r *Router) reborn(t *target, born int64) {
+	r.logTarget(t, "restarted", "born", born)
+	for _, name := range sortedKeys(t.runs) {
+		r.over(t.runs[name], Lapsed)
+	}
+	t.born, t.acked, t.clock, t.listing = born, 0, Reading{}, 0
+	t.orphan, t.finished = make(map[string]int), make(map[string]End)
+	t.failures, t.barred = 0, time.Time{}
+}
+
+// leave stops using a target whose cell another host holds. The next holder
+// takes over its runs or stops them.
+func (r *Router) leave(t *target) {
+	gone := r.now.Add(r.Bounds.Lease + r.Bounds.Orphan + 2*r.Bounds.Stop)
+	for _, name := range sortedKeys(t.runs) {
+		n := t.runs[name]
+		r.strand(n.job, n.task, gone)
+		delete(t.runs, name)
+	}
+	delete(r.targets, t.ID)
+}
+
+// refresh asks for the directory when it is due: the holder reads it, and the
+// others only while no holder does.
+func (r *Router) refresh() {
+	if r.Self.Slot == 0 && len(r.directory.Targets) > 0 || r.now.Sub(r.asked) < r.Bounds.Directory {
+		return
+	}
+	if !r.holds() && r.readElsewhere() {
+		return
+	}
+	r.asked = r.now
+	r.emit(Read{})
+}
+
+func (r *Router) holds() bool {
+	for _, c := range r.cells {
+		if c.mine {
+			return true
+		}
+	}
+	return false
+}
+
+// readElsewhere reports whether a peer has read the directory lately.
+func (r *Router) readElsewhere() bool {
+	for _, p := range r.peers {
+		if r.reaches(p) && p.age < 3*r.Bounds.Directory {
+			return true
+		}
+	}
+	return false
+}
+
+// locate takes the directory as the store had it.
+func (r *Router) locate(e Locate) {
+	if !r.outage.IsZero() {
+		r.emit(Decide{Action: "store", Pairs: []any{"state", "regained", "after", r.since(r.outage)}})
+	}
+	if !r.outage.IsZero() && r.now.Sub(r.outage) > time.Second {
+		r.graceEntries(&e.Directory)
+	} else {
+		r.outage = time.Time{}
+	}
+	r.located = e.Asked
+	r.take(e.Directory, e.Asked, "store")
+}
+
+// graceEntries keeps entries that lapsed while the store was away, until their
+// targets have had time to register again.
+func (r *Router) graceEntries(d *Directory) {
+	if r.outage.IsZero() {
+		return
+	}
+	if r.located.Before(r.outage) {
+		r.outage = r.now.Add(-time.Second - 1) // from here on the grace counts
+		r.located = r.now
+	}
+	if r.now.Sub(r.outage) > r.Bounds.Absent+time.Second {
+		r.outage = time.Time{}
+		return
+	}
+	for _, old := range r.directory.Targets {
+		if !slices.ContainsFunc(d.Targets, func(t Target) bool { return t.ID == old.ID }) {
+			d.Targets = append(d.Targets, old)
+		}
+	}
+}
+
+// unread notes that the store did not show the directory.
+func (r *Router) unread() {
+	if r.outage.IsZero() {
+		r.outage = r.now
+		r.emit(Decide{Action: "store", Pairs: []any{"state", "lost", "age", r.since(r.located)}})
+	}
+}
+
+// take adopts a directory that differs from the one in force.
+func (r *Router) take(d Directory, asked time.Time, source string) {
+	if d.Version <= r.directory.Version {
+		return
+	}
+	slices.SortFunc(d.Targets, func(a, b Target) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	if d.same(r.directory) {
+		return
+	}
+	r.emit(Decide{Action: "directory", Pairs: []any{
+		"version", d.Version, "targets", len(d.Targets), "before", len(r.directory.Targets), "source", source, "age", r.since(asked),
+	}})
+	r.directory = d
+	for _, entry := range d.Targets {
+		r.cell(entry.Zone)
+	}
+	r.syncTargets()
+	for _, p := range r.sortedPeers() {
+		if source == "store" && r.reaches(p) {
+			p.directory = d.Version
+			r.send(p, Message{Directory: &d})
+		}
+	}
+}
+
+// usable reports whether a target may be given a task now.
+func (r *Router) usable(t *target) bool {
+	if !t.fenced || !t.listed || t.Draining || r.now.Before(t.barred) || t.misses > 0 {
+		return false
+	}
+	if t.trial && len(t.runs) > 0 {
+		return false
+	}
+	return len(t.orphan) == 0 && r.now.Sub(t.fresh) <= r.Bounds.Idle+r.Bounds.Order
+}
+
+// until returns the end of a lease that begins now, on the target's clock.
+func (t *target) until(now time.Time, lease time.Duration) int64 {
+	if t.clock.At.IsZero() {
+		return 0
+	}
+	return t.clock.Millis + (now.Sub(t.clock.At) + lease).Milliseconds()
+}
+
+// hold notes that an order extends the target's lease.
+func (r *Router) hold(t *target) {
+	end := r.now.Add(r.Bounds.Lease + time.Duration(float64(r.Bounds.Lease)*r.Bounds.Drift) + lapseSlack)
+	if end.After(t.lapses) {
+		t.lapses = end
+	}
+}
+
+// read takes the target's clock.
+func (t *target) read(clock Reading) {
+	if !clock.At.IsZero() && clock.At.After(t.clock.At) {
+		t.clock = clock
+	}
+}
+
+// renew sends the renewal that waits for an end.
+func (r *Router) renew(t *target) {
+	if t.waiting || r.now.Before(t.next) {
+		return
+	}
+	wait := r.Bounds.Wait
+	if !t.fenced || t.misses > 0 || len(t.runs) == 0 {
+		wait = 0
+	}
+	t.waiting = true
+	r.sendRenew(t, wait, false)
+}
+
+// look asks at once what runs at a target.
+func (r *Router) look(t *target) {
+	if t.looking {
+		t.again = true
+		return
+	}
+	t.looking, t.again = true, false
+	r.sendRenew(t, 0, true)
+}
+
+func (r *Router) sendRenew(t *target, wait time.Duration, look bool) {
+	until := t.until(r.now, r.Bounds.Lease)
+	r.hold(t)
+	r.emit(Renew{
+		Target: t.Target, Token: t.token, Acked: t.acked, Until: until,
+		Wait: wait, Timeout: wait + r.Bounds.Order, Look: look,
+	})
+}
+
+// renewed takes the answer to a renewal.
+func (r *Router) renewed(e Renewed) {
+	t := r.targets[e.Target]
+	if t == nil {
+		return
+	}
+	if e.Look {
+		t.looking = false
+	} else {
+		t.waiting = false
+	}
+	if e.Token != t.token {
+		r.renew(t)
+		return
+	}
+	switch e.Result {
+	case Running:
+		r.listing(t, e)
+	case Fenced:
+		r.repelled(t, e.Token)
+		return
+	case Replaced:
+		r.replaced(t)
+	default:
+		r.missed(t)
+	}
+	if t.again {
+		r.look(t)
+	}
+	r.schedule(t)
+}
+
+// schedule sets when the next renewal is due.
+func (r *Router) schedule(t *target) {
+	switch {
+	case t.misses > 0:
+		t.next = r.now.Add(renewRetry * time.Duration(min(t.misses, 10)))
+	case len(t.runs) > 0 || len(t.orphan) > 0:
+		t.next = time.Time{}
+	default:
+		t.next = r.now.Add(r.Bounds.Idle)
+	}
+	r.renew(t)
+}
+
+// missed notes a renewal without an answer.
+func (r *Router) missed(t *target) {
+	t.misses++
+	if t.misses == 1 {
+		r.logTarget(t, "silent", "lapses", t.lapses.Sub(r.now).String())
+	}
+	r.emit(Retire{ID: t.ID})
+}
+
+// replaced notes that another process answers at a target's address.
+func (r *Router) replaced(t *target) {
+	r.logTarget(t, "replaced")
+	for _, name := range sortedKeys(t.runs) {
+		r.over(t.runs[name], Lapsed)
+	}
+	t.fenced, t.misses = false, t.misses+1
+}
+
+// watchTargets sends renewals that are due, ends runs whose lease has lapsed and
+// forgets targets that are gone.
+func (r *Router) watchTargets() {
+	for _, id := range sortedKeys(r.targets) {
+		t := r.targets[id]
+		if r.now.After(t.lapses) && len(t.runs) > 0 {
+			r.lapse(t)
+		}
+		if !t.listed && len(t.runs) == 0 && r.now.Sub(t.unlisted) > r.Bounds.Lease {
+			r.logTarget(t, "forgotten")
+			delete(r.targets, id)
+			r.emit(Retire{ID: id, Gone: true})
+			continue
+		}
+		r.renew(t)
+		r.chase(t)
+		r.clearOrphans(t)
+	}
+}
+
+// lapse ends all runs of a target that no order has reached for a lease.
+func (r *Router) lapse(t *target) {
+	r.logTarget(t, "lapsed")
+	t.fenced = false
+	for _, name := range sortedKeys(t.runs) {
+		r.over(t.runs[name], Lapsed)
+	}
+	r.emit(Retire{ID: t.ID})
+}
+
+// chase repeats orders that have had no effect yet.
+func (r *Router) chase(t *target) {
+	for _, name := range sortedKeys(t.runs) {
+		n := t.runs[name]
+		if (n.state == runStopping || n.state == runDoubtful) && r.now.Sub(n.stopAt) >= stopRetry {
+			r.halt(n)
+		}
+	}
+}
