--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -140,7 +140,7 @@
 		return 0
 	}
 	for _, other := range r.queue.Items() {
-		if other.spec.Service == j.spec.Service && sooner(other, j) {
+		if other.spec.Service == j.spec.Service && first(other, j) {
 			work += float64(other.waiting*other.spec.Need.CPU) * other.expect.Seconds()
 		}
 	}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -119,10 +119,8 @@
 	r.emit(Decide{Action: "admit", Job: j.spec.ID, Pairs: r.inputs(j)})
 	r.jobs[j.spec.ID] = j
 	r.recall(j)
-	if r.settle(j); !j.over && j.waiting > 0 {
-		r.queue.Push(j)
-		r.dirty = true
-	}
+	r.settle(j)
+	r.dirty = true
 }
 
 // runsAnew reports whether a job has ended so that its client may have it run
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -5,12 +5,18 @@
 	"time"
 )
 
-// sooner orders the queue: jobs that have begun come first, then those that
-// must start first; jobs that are late already come last.
-func sooner(a, b *job) bool {
+// first reports whether a comes before b: jobs that have begun come first, then
+// those that must start first.
+func first(a, b *job) bool {
 	if a.begun != b.begun {
 		return a.begun
 	}
+	return sooner(a, b)
+}
+
+// sooner orders the queue by when jobs must start. The order of two jobs never
+// changes.
+func sooner(a, b *job) bool {
 	if !a.latest.Equal(b.latest) {
 		return a.latest.Before(b.latest)
 	}
@@ -34,7 +40,7 @@
 			return 1
 		case lateA != lateB:
 			return -1
-		case sooner(a, b):
+		case first(a, b):
 			return -1
 		}
 		return 1
