--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -5,24 +5,10 @@
 	"time"
 )
 
-// history is what was learned of a route's tasks.
-type history struct {
-	count int
-	mean  float64 // seconds
-	// ratio is the mean of run time over declared run time.
-	ratio float64
-}
-
 const (
-	// historyWindow is the number of tasks over which a mean forgets.
-	historyWindow = 200
-	// historyTrust is the number of tasks after which a mean is used alone.
-	historyTrust = 20
-	// widest bounds the extra time of the longest of many tasks: at a spread of
+	// widestFactor bounds the extra time of the longest of many tasks: at a spread of
 	// 15 % within a job, the longest of 8 takes 1.2 times the mean.
 	widestFactor = 0.1
-	// usual is the run time assumed when nothing is declared or learned.
-	usual = 300 * time.Millisecond
 	// travel is the time of the messages around a job's work: two hops between
 	// zones, an order and an answer.
 	travel = 12 * time.Millisecond
@@ -37,60 +23,22 @@
 	maxRetry = 3 * time.Second
 )
 
-// learnFrom takes the run time of a task that is done.
-func (r *Router) learnFrom(n *run) {
-	j := n.job
-	ran := r.now.Sub(n.sent).Seconds()
-	h := r.learned[j.spec.Route]
-	if h == nil {
-		h = &history{}
-		r.learned[j.spec.Route] = h
-	}
-	h.count++
-	weight := 1 / float64(min(h.count, historyWindow))
-	h.mean += (ran - h.mean) * weight
-	if j.spec.Expect > 0 {
-		h.ratio += (ran/j.spec.Expect.Seconds() - h.ratio) * weight
-	}
-}
-
-// predict returns the expected run time of one task: the geometric mean of what
-// its kind takes and of what it declares, corrected by how far off that usually
-// is.
-func (r *Router) predict(spec *Job) time.Duration {
-	declared := spec.Expect
-	h := r.learned[spec.Route]
-	if h == nil || h.count < historyTrust {
-		if declared <= 0 {
-			return usual
-		}
-		return declared
-	}
-	if declared <= 0 || h.ratio <= 0 {
-		return seconds(h.mean)
-	}
-	return seconds(math.Sqrt(h.mean * declared.Seconds() * h.ratio))
-}
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // plan sets when a job's tasks must start.
 func (r *Router) plan(j *job) {
-	task := r.predict(&j.spec)
+	j.task = r.predict(&j.spec)
 	wide := 1 + widestFactor*math.Log(float64(max(j.spec.Count, 1)))
-	j.expect = seconds(task.Seconds()*wide) + travel
+	j.expect = seconds(j.task.Seconds()*wide) + travel
 	stretch := max(j.spec.Stretch, 1)
 	goal := j.arrived.Add(seconds(j.expect.Seconds()*stretch) + j.spec.Allowance)
 	if goal.After(j.deadline) {
 		goal = j.deadline
 	}
-	j.latest = goal.Add(-j.expect)
+	j.goal, j.latest = goal, goal.Add(-j.expect)
 }
 
 // last returns the last moment at which starting the job is of any use.
 func (j *job) last() time.Time {
-	goal := j.latest.Add(j.expect).Sub(j.arrived)
-	end := j.arrived.Add(lateFactor * goal)
+	end := j.arrived.Add(lateFactor * j.goal.Sub(j.arrived))
 	if end.After(j.deadline) {
 		end = j.deadline
 	}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -152,6 +152,8 @@
 type Live struct {
 	Task string
 	Run  int
+	// Percent is how much of its work the run has done.
+	Percent float64
 }
 
 // End is a run that a target lists as ended.
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -27,10 +27,13 @@
 	arrived  time.Time // at its own host
 	offered  time.Time // here
 	deadline time.Time
+	// task is the expected run time of one task at a target of usual speed.
+	task time.Duration
 	// expect is the expected run time of the whole job, and latest the last
 	// moment to start its tasks for an answer within the objective.
 	expect time.Duration
 	latest time.Time
+	goal   time.Time // when the answer is due
 	// resent tells that another holder had the job; cleared is when its tasks
 	// may start anew even if not all targets obey this host.
 	resent  bool
@@ -211,7 +214,7 @@
 // inputs returns what a decision on a job was taken from.
 func (r *Router) inputs(j *job, more ...any) []any {
 	return append([]any{
-		"route", j.spec.Route, "tasks", j.spec.Count, "cpu", j.spec.Need.CPU, "expect", j.expect.Round(time.Millisecond).String(),
+		"route", j.spec.Route, "tasks", j.spec.Count, "cpu", j.spec.Need.CPU, "expect", j.expect.Round(time.Millisecond).String(), "declared", j.spec.Expect.String(),
 		"slack", j.latest.Sub(r.now).Round(time.Millisecond).String(), "left", j.deadline.Sub(r.now).Round(time.Millisecond).String(),
 		"queued", r.queue.Len(), "directory", r.directory.Version, "resent", j.resent,
 	}, more...)
--- /dev/null
+++ b/internal/router/learn.go
@@ -0,0 +1,185 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// history is what was learned of a route's tasks: how the logarithm of their run
+// time depends on that of the declared one.
+type history struct {
+	count        int
+	meanX, meanY float64 // declared and measured, logarithms of seconds
+	varX, covXY  float64
+}
+
+// Lesson is a history on its way to another host, so that a new holder does not
+// begin to learn anew.
+type Lesson struct {
+	Route string  `cbor:"1,keyasint"`
+	Count int     `cbor:"2,keyasint"`
+	MeanX float64 `cbor:"3,keyasint"`
+	MeanY float64 `cbor:"4,keyasint"`
+	VarX  float64 `cbor:"5,keyasint"`
+	CovXY float64 `cbor:"6,keyasint"`
+}
+
+// Speed is how the tasks of one kind of target compare with others, as the
+// logarithm of a factor on the run time.
+type Speed struct {
+	Kind  string  `cbor:"1,keyasint"`
+	Count int     `cbor:"2,keyasint"`
+	Log   float64 `cbor:"3,keyasint"`
+}
+
+const (
+	// historyWindow is the number of tasks over which a history forgets.
+	historyWindow = 400
+	// historyTrust is the number of tasks after which a history is used.
+	historyTrust = 20
+	// priorSlope is how much of a deviation of the declared run time from the
+	// usual is believed before it was learned.
+	priorSlope = 0.5
+	// speedWindow is the number of tasks over which a kind's speed forgets.
+	speedWindow = 200
+	// speedTrust is the number of tasks after which a kind's speed is used.
+	speedTrust = 10
+	// outlier bounds the deviation that is learned from: beyond a factor of 3
+	// the target is at fault rather than the estimate.
+	outlier = 1.1
+	// usual is the run time assumed when nothing is declared or learned.
+	usual = 300 * time.Millisecond
+)
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// declared returns what a job declares as the run time of a task.
+func declared(spec *Job) time.Duration {
+	if spec.Expect <= 0 {
+		return usual
+	}
+	return spec.Expect
+}
+
+// predict returns the expected run time of one task at a target of usual speed.
+func (r *Router) predict(spec *Job) time.Duration {
+	x := math.Log(declared(spec).Seconds())
+	h := r.learned[spec.Route]
+	if h == nil || h.count < historyTrust {
+		return declared(spec)
+	}
+	return seconds(math.Exp(h.meanY + h.slope()*(x-h.meanX)))
+}
+
+// slope returns how much of a deviation of the declared run time is believed.
+func (h *history) slope() float64 {
+	const trusted, flat = 100, 1e-3
+	if h.count < trusted || h.varX < flat {
+		return priorSlope
+	}
+	return min(max(h.covXY/h.varX, 0), 1)
+}
+
+// learnFrom takes the run time of a task that is done.
+func (r *Router) learnFrom(n *run) {
+	ran := r.now.Sub(n.sent)
+	if ran <= 0 {
+		return
+	}
+	kind := n.target.kind()
+	h := r.learned[n.job.spec.Route]
+	if h == nil {
+		h = &history{}
+		r.learned[n.job.spec.Route] = h
+	}
+	y := math.Log(ran.Seconds()) - r.speedLog(kind)
+	if h.count >= historyTrust {
+		off := y - math.Log(r.predict(&n.job.spec).Seconds())
+		if math.Abs(off) > outlier {
+			return
+		}
+		r.learnSpeed(kind, off)
+	}
+	h.take(math.Log(declared(&n.job.spec).Seconds()), y)
+}
+
+// take adds one task.
+func (h *history) take(x, y float64) {
+	h.count++
+	w := 1 / float64(min(h.count, historyWindow))
+	dx, dy := x-h.meanX, y-h.meanY
+	h.meanX += w * dx
+	h.meanY += w * dy
+	h.varX += w * (dx*(x-h.meanX) - h.varX)
+	h.covXY += w * (dx*(y-h.meanY) - h.covXY)
+}
+
+// learnSpeed takes how far a run was off the prediction for its kind of target.
+func (r *Router) learnSpeed(kind string, off float64) {
+	s := r.speeds[kind]
+	if s == nil {
+		s = &Speed{Kind: kind}
+		r.speeds[kind] = s
+	}
+	s.Count++
+	s.Log += off / float64(min(s.Count, speedWindow))
+}
+
+// speedLog returns the logarithm of a kind's factor on the run time.
+func (r *Router) speedLog(kind string) float64 {
+	if s := r.speeds[kind]; s != nil && s.Count >= speedTrust {
+		return s.Log
+	}
+	return 0
+}
+
+// expectAt returns the expected run time of one task of a job at a target.
+func (r *Router) expectAt(j *job, t *target) time.Duration {
+	return seconds(j.task.Seconds() * math.Exp(r.speedLog(t.kind())))
+}
+
+// kind returns the target's kind, which is its first label.
+func (t *Target) kind() string {
+	if len(t.Labels) == 0 {
+		return ""
+	}
+	return t.Labels[0]
+}
+
+// lessons returns what was learned, for the other hosts.
+func (r *Router) lessons() ([]Lesson, []Speed) {
+	var lessons []Lesson
+	for _, route := range sortedKeys(r.learned) {
+		h := r.learned[route]
+		lessons = append(lessons, Lesson{Route: route, Count: h.count, MeanX: h.meanX, MeanY: h.meanY, VarX: h.varX, CovXY: h.covXY})
+	}
+	var speeds []Speed
+	for _, kind := range sortedKeys(r.speeds) {
+		speeds = append(speeds, *r.speeds[kind])
+	}
+	return lessons, speeds
+}
+
+// study takes what another host has learned from more tasks than this one. Runs
+// times and speeds only make sense together.
+func (r *Router) study(lessons []Lesson, speeds []Speed) {
+	theirs, own := 0, 0
+	for _, l := range lessons {
+		theirs += l.Count
+	}
+	for _, h := range r.learned {
+		own += h.count
+	}
+	if theirs <= own || r.holds() {
+		return
+	}
+	clear(r.learned)
+	clear(r.speeds)
+	for _, l := range lessons {
+		r.learned[l.Route] = &history{count: l.Count, meanX: l.MeanX, meanY: l.MeanY, varX: l.VarX, covXY: l.CovXY}
+	}
+	for _, s := range slices.Clone(speeds) {
+		r.speeds[s.Kind] = &s
+	}
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -85,6 +85,9 @@
 	}
 	for _, live := range e.Running {
 		if n := t.runs[live.Task]; n != nil && n.number >= live.Run {
+			if n.number == live.Run {
+				r.progress(n, live.Percent)
+			}
 			continue
 		}
 		r.unknownRun(t, live)
@@ -108,7 +111,8 @@
 		return false
 	}
 	k := &j.tasks[index]
-	n := &run{job: j, task: index, number: live.Run, target: t, need: j.spec.Need, state: runRunning, sent: r.now, settled: r.now}
+	n := &run{job: j, task: index, number: live.Run, target: t, need: j.spec.Need, state: runRunning, sent: r.now, settled: r.now, expect: r.expectAt(j, t), counted: true}
+	n.lookAt = n.due(r.now, firstLook)
 	r.move(j, index, taskStart)
 	k.run, k.last, j.begun = n, max(k.last, live.Run), true
 	t.runs[live.Task] = n
@@ -268,11 +272,9 @@
 	if n.state != runDoubtful && !j.over {
 		r.judge(n, how)
 	}
-	if how != Done || j.over {
-		r.emit(Decide{Action: "end", Job: j.spec.ID, Task: taskName(j.spec.ID, n.task), Target: n.target.ID, Pairs: []any{
-			"run", n.number, "how", how, "ran", r.since(n.sent), "state", n.state,
-		}})
-	}
+	r.emit(Decide{Action: "end", Job: j.spec.ID, Task: taskName(j.spec.ID, n.task), Target: n.target.ID, Pairs: []any{
+		"run", n.number, "how", how, "ran", r.since(n.sent), "state", n.state,
+	}})
 	if how == Done {
 		r.learnFrom(n)
 		r.taskDone(j, n.task)
@@ -287,6 +289,9 @@
 	switch how {
 	case Done:
 		t.failures, t.trial = 0, false
+		if !n.counted {
+			t.stalls = 0
+		}
 	case Broke:
 		t.failures++
 		if t.failures >= failuresToBar || t.trial {
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -11,6 +11,8 @@
 	Progress  *Progress  `cbor:"5,keyasint,omitempty"`
 	Config    *Config    `cbor:"6,keyasint,omitempty"`
 	Directory *Directory `cbor:"7,keyasint,omitempty"`
+	// Former are targets that an earlier holder may have given tasks to.
+	Former []Target `cbor:"8,keyasint,omitempty"`
 }
 
 // Member identifies one life of an entry host's process.
@@ -43,6 +45,10 @@
 	Config    uint64        `cbor:"7,keyasint"`
 	Directory uint64        `cbor:"8,keyasint"`
 	Age       time.Duration `cbor:"9,keyasint"`
+	// Lessons and Speeds are what a holder has learned; most heartbeats leave
+	// them out.
+	Lessons []Lesson `cbor:"10,keyasint,omitempty"`
+	Speeds  []Speed  `cbor:"11,keyasint,omitempty"`
 }
 
 // Claim says who holds a cell. The claim with the highest token is in force.
--- /dev/null
+++ b/internal/router/observe.go
@@ -0,0 +1,96 @@
+package router
+
+import "time"
+
+const (
+	// firstLook and nextLook are the parts of the expected run time after which
+	// a run's progress is looked at, and shortestLook the shortest time.
+	firstLook    = 0.2
+	nextLook     = 0.3
+	shortestLook = 60 * time.Millisecond
+	// telling is the least progress, in percent, that tells the run time: it is
+	// rounded to whole percents.
+	telling = 8
+	// stallFactor is how many times slower than expected a run may be before
+	// its target counts as stalled; estimates are off by a factor of two in one
+	// of a hundred runs.
+	stallFactor = 3
+	// stallsToBar is how many stalled runs in a row leave a target out.
+	stallsToBar = 2
+	// stallFor is how long a stalled target is left out before a trial.
+	stallFor = 1200 * time.Millisecond
+)
+
+// due returns when a run's progress is to be looked at after now.
+func (n *run) due(now time.Time, part float64) time.Time {
+	return now.Add(max(seconds(n.expect.Seconds()*part), shortestLook))
+}
+
+// watchRuns looks at runs whose progress is due.
+func (r *Router) watchRuns(t *target) {
+	for _, n := range t.runs {
+		if n.state == runRunning && r.now.After(n.lookAt) && !n.job.over {
+			n.lookAt = n.due(r.now, nextLook)
+			r.look(t)
+			return
+		}
+	}
+}
+
+// progress takes how far a run has come.
+func (r *Router) progress(n *run, percent float64) {
+	ran := r.now.Sub(n.sent) - travel/2
+	if n.state != runRunning || n.job.over || ran <= 0 {
+		return
+	}
+	n.percent = percent
+	if percent >= telling {
+		n.total = seconds(ran.Seconds() * hundred / percent)
+	}
+	slow := float64(ran) > float64(n.expect)*stallFactor*max(percent, 1)/hundred+float64(shortestLook)
+	switch {
+	case slow && r.stalled(n, ran):
+	case percent >= telling:
+		r.foresee(n)
+	}
+}
+
+const hundred = 100
+
+// stalled takes a run that is far behind. It is stopped and started elsewhere if
+// it can still be in time there; it reports whether the run was stopped.
+func (r *Router) stalled(n *run, ran time.Duration) bool {
+	t := n.target
+	if !n.counted {
+		n.counted = true
+		t.stalls++
+		if t.stalls >= stallsToBar || t.trial {
+			r.bar(t, stallFor, "stalled")
+		}
+	}
+	again := r.now.Add(r.Bounds.Stop + n.job.expect)
+	if again.After(n.job.deadline) || n.percent > hundred/2 {
+		return false
+	}
+	r.emit(Decide{Action: "move", Job: n.job.spec.ID, Task: taskName(n.job.spec.ID, n.task), Target: t.ID, Pairs: []any{
+		"percent", n.percent, "ran", ran.Round(time.Millisecond).String(), "expect", n.expect.Round(time.Millisecond).String(),
+	}})
+	n.job.tasks[n.task].shunned = append(n.job.tasks[n.task].shunned, t.ID)
+	r.halt(n)
+	return true
+}
+
+// foresee gives a job up as soon as one of its runs shows that it cannot end in
+// time.
+func (r *Router) foresee(n *run) {
+	j := n.job
+	least := seconds(n.total.Seconds() * (n.percent - 1) / n.percent) // the percents are rounded
+	end := n.sent.Add(least)
+	if !end.After(j.deadline) {
+		return
+	}
+	r.emit(Decide{Action: "foresee", Job: j.spec.ID, Task: taskName(j.spec.ID, n.task), Target: n.target.ID, Pairs: []any{
+		"percent", n.percent, "total", n.total.Round(time.Millisecond).String(), "left", j.deadline.Sub(r.now).Round(time.Millisecond).String(),
+	}})
+	r.giveUp(j, Expired)
+}
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -73,7 +73,16 @@
 	r.sendOffer(r.peers[h.Address], q)
 }
 
-func (r *Router) sendOffer(p *peer, q *request) { r.send(p, Message{Offer: r.offerOf(q)}) }
+// sendOffer offers a request to another host. One that takes over from an earlier
+// holder is first told which targets that holder may have used: the list that it
+// has read itself may lack those of a zone that was cut off.
+func (r *Router) sendOffer(p *peer, q *request) {
+	if len(q.prior) > 0 && p.informed < q.token {
+		p.informed = q.token
+		r.send(p, Message{Former: r.directory.Targets})
+	}
+	r.send(p, Message{Offer: r.offerOf(q)})
+}
 
 // offerOf returns what a holder is told of a request.
 func (r *Router) offerOf(q *request) *Offer {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -21,6 +21,7 @@
 	met       bool // has been in touch in this life
 	trusted   bool // jobs of its clients may run
 	redialled time.Time
+	informed  uint64 // token of the claim under which it was told of former targets
 }
 
 // reaches reports whether messages pass both ways: a time of this host's clock
@@ -82,6 +83,8 @@
 		r.adopt(m.Config, "peer")
 	case m.Directory != nil:
 		r.take(*m.Directory, r.now.Add(-p.age), "peer")
+	case m.Former != nil:
+		r.recallTargets(m.Former)
 	}
 }
 
@@ -111,6 +114,9 @@
 	for _, c := range b.Claims {
 		r.learn(c)
 	}
+	if len(b.Lessons) > 0 {
+		r.study(b.Lessons, b.Speeds)
+	}
 	if r.reaches(p) {
 		r.inTouch(p)
 	}
@@ -210,11 +216,21 @@
 // beatNow sends a heartbeat to every peer.
 func (r *Router) beatNow() {
 	r.beaten = r.now
+	b := r.heartbeat()
+	if r.holds() && r.now.Sub(r.taught) >= teachEvery {
+		r.taught = r.now
+		b.Lessons, b.Speeds = r.lessons()
+	}
 	for _, p := range r.sortedPeers() {
-		r.beatTo(p)
+		to := b
+		to.Echo = p.sent
+		r.send(p, Message{Beat: &to})
 	}
 }
 
+// teachEvery is the period at which a holder tells what it has learned.
+const teachEvery = time.Second
+
 // claims returns the cells whose holders are known.
 func (r *Router) claims() []Claim {
 	var claims []Claim
@@ -228,6 +244,13 @@
 
 // beatTo sends a heartbeat to one peer.
 func (r *Router) beatTo(p *peer) {
+	b := r.heartbeat()
+	b.Echo = p.sent
+	r.send(p, Message{Beat: &b})
+}
+
+// heartbeat returns what this host tells all peers.
+func (r *Router) heartbeat() Beat {
 	age := r.now.Sub(r.located)
 	if r.located.IsZero() {
 		age = never
@@ -236,10 +259,10 @@
 	if r.config != nil {
 		version = r.config.Version
 	}
-	r.send(p, Message{Beat: &Beat{
-		Member: r.Self, Sent: r.now.UnixNano(), Echo: p.sent, Leaving: !r.leaving.IsZero(), Generation: r.generation,
+	return Beat{
+		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leaving.IsZero(), Generation: r.generation,
 		Claims: r.claims(), Config: version, Directory: r.directory.Version, Age: age,
-	}})
+	}
 }
 
 // never is the age of a directory that was not read yet.
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -84,11 +84,17 @@
 	if r.now.After(j.cleared) {
 		return true
 	}
+	obeys := func(entry Target) bool {
+		t := r.targets[entry.ID]
+		return t != nil && t.fenced || !slices.Contains(j.zones, entry.Zone)
+	}
 	for _, entry := range r.directory.Targets {
-		if !slices.Contains(j.zones, entry.Zone) {
-			continue
+		if !obeys(entry) {
+			return false
 		}
-		if t := r.targets[entry.ID]; t == nil || !t.fenced {
+	}
+	for _, s := range r.former {
+		if !obeys(s.target) {
 			return false
 		}
 	}
@@ -108,10 +114,7 @@
 		if !left.Fits(j.spec.Need) || !r.usable(t) || r.crowds(j, t) {
 			continue
 		}
-		score := left.CPU - j.spec.Need.CPU
-		if j.spec.Rack != "" && !t.has(j.spec.Rack) {
-			score += farPenalty
-		}
+		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t)
 		if best == nil || score < bestLeft || score == bestLeft && t.ID < best.ID {
 			best, bestLeft = t, score
 		}
@@ -119,9 +122,31 @@
 	return best
 }
 
-// farPenalty outweighs any difference of room, in thousandths of a core: away
-// from its data a task takes several times as long.
-const farPenalty = 1_000_000
+const (
+	// farPenalty outweighs any difference of room, in thousandths of a core:
+	// away from its data a task takes several times as long.
+	farPenalty = 4_000_000
+	// latePenalty does so for a target where the task is expected too late.
+	latePenalty = 1_000_000
+	// fastPenalty keeps fast targets free for tasks that need them.
+	fastPenalty = 100_000
+)
+
+// penalty returns what speaks against a target beside the room that is left.
+// Where the task would be in time at a slower target too, faster ones are kept
+// for tasks that would not.
+func (r *Router) penalty(j *job, t *target) int {
+	penalty := 0
+	if j.spec.Rack != "" && !t.has(j.spec.Rack) {
+		penalty += farPenalty
+	}
+	expect := r.expectAt(j, t)
+	if r.now.Add(expect).After(j.goal) {
+		return penalty + latePenalty + int(expect.Milliseconds())
+	}
+	slowest := max(j.task.Seconds(), 1e-3)
+	return penalty + int(fastPenalty*slowest/max(expect.Seconds(), 1e-3))
+}
 
 // has reports whether a target has a label; the empty one is had by all.
 func (t *Target) has(label string) bool { return label == "" || slices.Contains(t.Labels, label) }
@@ -155,7 +180,8 @@
 		r.violate("one run a task", "%s is still known at %s", name, t.ID)
 	}
 	k.last++
-	n := &run{job: j, task: index, number: k.last, target: t, need: j.spec.Need, state: runStarting, sent: r.now}
+	n := &run{job: j, task: index, number: k.last, target: t, need: j.spec.Need, state: runStarting, sent: r.now, expect: r.expectAt(j, t)}
+	n.lookAt = n.due(r.now, firstLook)
 	k.run = n
 	t.runs[name] = n
 	t.used = t.used.plus(n.need)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,6 +26,7 @@
 
 	config    *Config
 	directory Directory
+	former    map[string]*sighting // targets of other hosts' lists, by ID
 	located   time.Time // when the directory was last read by this host
 	asked     time.Time // when it was last asked for
 	outage    time.Time // when reads of the directory began to fail
@@ -46,6 +47,8 @@
 	ended   []*job // oldest first
 	marks   map[string][]Mark
 	learned map[string]*history // by route
+	speeds  map[string]*Speed   // by kind of target
+	taught  time.Time           // when the others were last told
 	dirty   bool                // something may be placed
 
 	lost    map[string]time.Time // when the jobs of a lost cell are dropped, by zone
@@ -80,6 +83,8 @@
 	r.marks = make(map[string][]Mark)
 	r.learned = make(map[string]*history)
 	r.lost = make(map[string]time.Time)
+	r.former = make(map[string]*sighting)
+	r.speeds = make(map[string]*Speed)
 	r.queue.Less = sooner
 	r.cell(r.Self.Zone)
 	if len(r.Seeds) > 0 {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -35,6 +35,7 @@
 	// failures counts jobs in a row that failed here; a target that fails all
 	// is left out until a trial succeeds.
 	failures int
+	stalls   int       // runs far behind in a row
 	barred   time.Time // no starts before
 	trial    bool      // the next start is a trial
 }
@@ -52,6 +53,14 @@
 	// list asked for later that lacks the run means that it is over.
 	settled time.Time
 	stopAt  time.Time // when the last Stop left
+	// expect is the expected run time here; lookAt is when progress is due;
+	// percent and total are what progress has shown; counted tells that the run
+	// has counted as stalled.
+	expect  time.Duration
+	lookAt  time.Time
+	percent float64
+	total   time.Duration
+	counted bool
 }
 
 type runState string
@@ -88,11 +97,18 @@
 	seen := make(map[string]bool, len(r.directory.Targets))
 	for _, entry := range r.directory.Targets {
 		seen[entry.ID] = true
+		if c := r.cell(entry.Zone); c.mine {
+			r.enlist(entry, c)
+		}
+	}
+	for _, id := range sortedKeys(r.former) {
+		entry := r.former[id].target
 		c := r.cell(entry.Zone)
-		if !c.mine {
+		if !c.mine || seen[id] || r.targets[id] != nil && r.targets[id].token == c.claim.Token {
 			continue
 		}
 		r.enlist(entry, c)
+		seen[id] = false
 	}
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
@@ -390,18 +406,20 @@
 // watchTargets sends renewals that are due, ends runs whose lease has lapsed and
 // forgets targets that are gone.
 func (r *Router) watchTargets() {
+	r.forgetFormer()
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
 		if r.now.After(t.lapses) && len(t.runs) > 0 {
 			r.lapse(t)
 		}
-		if !t.listed && len(t.runs) == 0 && r.now.Sub(t.unlisted) > r.Bounds.Lease {
+		if !t.listed && len(t.runs) == 0 && r.now.Sub(t.unlisted) > r.Bounds.Lease && r.former[id] == nil {
 			r.logTarget(t, "forgotten")
 			delete(r.targets, id)
 			r.emit(Retire{ID: id, Gone: true})
 			continue
 		}
 		r.renew(t)
+		r.watchRuns(t)
 		r.chase(t)
 		r.clearOrphans(t)
 	}
