router: targets that a newer list lacks count until a lease has passed

Cause: hosts of a zone that comes back get the others' list, which lacks the zone's targets, before they send their own along.

--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -79,7 +79,7 @@
 func (r *Router) sendOffer(p *peer, q *request) {
 	if len(q.prior) > 0 && p.informed < q.token {
 		p.informed = q.token
-		r.send(p, Message{Former: r.directory.Targets})
+		r.send(p, Message{Former: r.sightings()})
 	}
 	r.send(p, Message{Offer: r.offerOf(q)})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,9 +27,9 @@
 	config    *Config
 	directory Directory
 	former    map[string]*sighting // targets of other hosts' lists, by ID
-	located   time.Time // when the directory was last read by this host
-	asked     time.Time // when it was last asked for
-	outage    time.Time // when reads of the directory began to fail
+	located   time.Time            // when the directory was last read by this host
+	asked     time.Time            // when it was last asked for
+	outage    time.Time            // when reads of the directory began to fail
 
 	life       int // tells this process's tokens from those of its earlier lives
 	generation uint64
--- a/internal/router/sighting.go
+++ b/internal/router/sighting.go
@@ -1,6 +1,9 @@
 package router
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // sighting is a target that the host of a job has in its list. Its entry in the
 // store lapses while it cannot reach the store, though it may run tasks.
@@ -9,9 +12,32 @@
 	told   time.Time
 }
 
-// sightingKeep is how long a target of another host's list may still run what an
-// earlier holder started: the time in which entries come back and a lease.
-const sightingKeep = 5 * time.Second
+// sightingKeep is how long a target that is not listed may still run what an
+// earlier holder started: the time in which entries come back after a cut (2 s)
+// and a lease.
+const sightingKeep = 3 * time.Second
+
+// vanish notes the targets of the list in force that a new one lacks.
+func (r *Router) vanish(d Directory) {
+	listed := make(map[string]bool, len(d.Targets))
+	for _, t := range d.Targets {
+		listed[t.ID] = true
+	}
+	for _, t := range r.directory.Targets {
+		if !listed[t.ID] {
+			r.former[t.ID] = &sighting{target: t, told: r.now}
+		}
+	}
+}
+
+// sightings returns the targets that this host knows of.
+func (r *Router) sightings() []Target {
+	list := slices.Clone(r.directory.Targets)
+	for _, id := range sortedKeys(r.former) {
+		list = append(list, r.former[id].target)
+	}
+	return list
+}
 
 // recallTargets takes the list of another host. Targets of held cells are asked
 // what runs there, also those that this host's own list lacks.
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -261,6 +261,7 @@
 	r.emit(Decide{Action: "directory", Pairs: []any{
 		"version", d.Version, "targets", len(d.Targets), "before", len(r.directory.Targets), "source", source, "age", r.since(asked),
 	}})
+	r.vanish(d)
 	r.directory = d
 	for _, entry := range d.Targets {
 		r.cell(entry.Zone)
