--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -348,6 +348,11 @@
 
 // acquire makes this host the holder of a cell.
 func (r *Router) acquire(c *cell, token uint64) {
+	if _, pending := r.lost[c.zone]; pending {
+		// Another host has had the jobs meanwhile; what is known here is stale.
+		delete(r.lost, c.zone)
+		r.dropZone(c.zone)
+	}
 	c.claim = Claim{Zone: c.zone, Token: token, Holder: r.Self}
 	c.mine, c.acquired, c.fenced = true, r.now, false
 	c.absent, c.rivals = time.Time{}, time.Time{}
@@ -374,9 +379,7 @@
 // over what runs, and nothing is stopped.
 func (r *Router) dropLost() {
 	for _, zone := range sortedKeys(r.lost) {
-		if r.cells[zone].mine {
-			delete(r.lost, zone)
-		} else if !r.now.Before(r.lost[zone]) {
+		if !r.now.Before(r.lost[zone]) {
 			delete(r.lost, zone)
 			r.dropZone(zone)
 		}
