--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -45,6 +45,7 @@
 	at       *host
 	request  uint64
 	tries    int
+	place    int // among the jobs of its kind
 	ended    bool
 	refused  bool
 	doubtful bool // an earlier try ended without a clear answer
@@ -70,7 +71,7 @@
 // next plans a kind's next job after a time.
 func (w *World) next(k *Kind, from time.Time) {
 	rate := k.Rate * w.Load * w.surge(k.Name, from)
-	gap := time.Duration(w.random.ExpFloat64() / max(rate, 1e-9) * float64(time.Second))
+	gap := time.Duration(w.jobs.ExpFloat64() / max(rate, 1e-9) * float64(time.Second))
 	at := from.Add(gap)
 	if at.After(w.start.Add(w.Length)) {
 		return
@@ -84,7 +85,7 @@
 // come makes one job and sends it.
 func (w *World) come(k *Kind) {
 	w.number++
-	normal := w.random.NormFloat64
+	normal := w.jobs.NormFloat64
 	length := k.Work.Seconds() * math.Exp(k.Spread*normal()-k.Spread*k.Spread/2)
 	count := int(math.Round(k.Tasks * math.Exp(0.4*normal()-0.08)))
 	count = min(max(count, 1), int(4*k.Tasks))
@@ -92,7 +93,7 @@
 	need.CPU = min(int(float64(need.CPU)*math.Exp(0.2*normal())), need.CPU*3/2)
 	c := &client{
 		world: w, id: fmt.Sprintf("%016x", w.number), kind: k, length: length, sent: w.now,
-		zone: w.Layout.Zones[w.random.IntN(len(w.Layout.Zones))],
+		zone: w.Layout.Zones[w.jobs.IntN(len(w.Layout.Zones))],
 	}
 	longest := 0.0
 	for range count {
--- a/internal/modeler/tally.go
+++ b/internal/modeler/tally.go
@@ -10,7 +10,9 @@
 // Tally counts what callers got.
 type Tally struct {
 	Starts int
-	Kinds  map[string]*Count
+	// Tasks counts the tasks of the jobs that were completed.
+	Tasks int
+	Kinds map[string]*Count
 	// Worth earned and owed, by second of the load.
 	Earned, Owed map[int]float64
 }
@@ -20,8 +22,10 @@
 	Asked, InTime, Late, Refused, Failed, Unknown int
 	Earned, Owed                                  float64
 	Took                                          []time.Duration
-	// Slow are answers over the objective, as factors.
-	Reasons map[router.Reason]int
+	Reasons                                       map[router.Reason]int
+	// Works and Served are the work of each job and whether it was completed.
+	Works  []float64
+	Served map[int]bool
 }
 
 func (t *Tally) count(c *client) *Count {
@@ -31,7 +35,7 @@
 	}
 	n := t.Kinds[c.kind.Name]
 	if n == nil {
-		n = &Count{Reasons: make(map[router.Reason]int)}
+		n = &Count{Reasons: make(map[router.Reason]int), Served: make(map[int]bool)}
 		t.Kinds[c.kind.Name] = n
 	}
 	return n
@@ -49,7 +53,9 @@
 
 func (t *Tally) asked(c *client) {
 	n := t.count(c)
+	c.place = n.Asked
 	n.Asked++
+	n.Works = append(n.Works, c.length*float64(c.job.Count))
 	n.Owed += c.worth()
 	t.Owed[c.second()] += c.worth()
 }
@@ -60,6 +66,8 @@
 func (t *Tally) complete(c *client, took time.Duration) {
 	n := t.count(c)
 	n.Took = append(n.Took, took)
+	n.Served[c.place] = true
+	t.Tasks += c.job.Count
 	worth := 0.0
 	switch {
 	case took <= c.goal:
@@ -121,6 +129,29 @@
 	return worst
 }
 
+// Large returns how often the largest tenth of the jobs was completed, over how
+// often all were.
+func (n *Count) Large() float64 {
+	sorted := slices.Clone(n.Works)
+	slices.Sort(sorted)
+	if len(sorted) == 0 || len(n.Served) == 0 {
+		return 1
+	}
+	const part = 0.9
+	bound := sorted[min(int(part*float64(len(sorted))), len(sorted)-1)]
+	large, served := 0, 0
+	for i, work := range n.Works {
+		if work >= bound {
+			large++
+			if n.Served[i] {
+				served++
+			}
+		}
+	}
+	all := float64(len(n.Served)) / float64(len(n.Works))
+	return float64(served) / float64(large) / all
+}
+
 // Quantile returns a quantile of the answer times of a kind.
 func (n *Count) Quantile(q float64) time.Duration {
 	if len(n.Took) == 0 {
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -49,6 +49,7 @@
 	agenda  agenda
 	order   uint64
 	random  *rand.Rand
+	jobs    *rand.Rand // for what clients send: the same under any policy
 	hosts   []*host
 	byLink  map[string]*host
 	targets map[string]*target
@@ -106,6 +107,7 @@
 	w.now = time.Unix(epoch, 0)
 	w.start = w.now.Add(w.Warm)
 	w.random = rand.New(rand.NewPCG(w.Seed, 1))
+	w.jobs = rand.New(rand.NewPCG(w.Seed, 2))
 	w.byLink = make(map[string]*host)
 	w.targets = make(map[string]*target)
 	w.cuts = make(map[[2]string]bool)
--- a/internal/modeler/world_test.go
+++ b/internal/modeler/world_test.go
@@ -7,31 +7,13 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"github.com/shallotrouter/shallotrouter/internal/router"
 )
 
-// usersKinds are the kinds of request of the users' sites.
-func usersKinds() []Kind {
-	need := router.Room{CPU: 14000, Memory: 64}
-	return []Kind{
-		{Name: "check", Rate: 34.4, Tasks: 8, Work: 60 * time.Millisecond, Spread: 0.4, Off: 0.4, Need: need, Stretch: 1.6, Allowance: 60 * time.Millisecond, Attempts: 3, Worth: 0.0291},
-		{Name: "manifest", Rate: 6.25, Tasks: 4, Work: 900 * time.Millisecond, Spread: 0.4, Off: 0.4, Need: need, Stretch: 1.6, Allowance: 60 * time.Millisecond, Attempts: 2, Worth: 0.16},
-		{Name: "confirm", Rate: 100, Tasks: 2, Work: 200 * time.Millisecond, Spread: 0.4, Off: 0.4, Need: need, Stretch: 1.6, Allowance: 60 * time.Millisecond, Attempts: 4, Worth: 0.01},
-	}
-}
-
 // usersWorld is a site of the users.
 func usersWorld(load float64, length time.Duration, faults ...Fault) *World {
-	return &World{
-		Layout: Layout{
-			Zones: []string{"north", "south", "west"}, Hosts: 2, Targets: 16,
-			Room: router.Room{CPU: 32000, Memory: 65536}, SlowFactor: 1.3,
-			Hop: 900 * time.Microsecond, Near: 200 * time.Microsecond,
-		},
-		Kinds: usersKinds(), Load: load, Faults: faults, Seed: 1, Bounds: router.Standard(),
-		Warm: 3 * time.Second, Length: length, Drain: 8 * time.Second,
-	}
+	w := Restrepo()
+	w.Load, w.Length, w.Faults = load, length, faults
+	return &w
 }
 
 func report(t *testing.T, w *World) {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -17,7 +17,7 @@
 	lateFactor = 3
 	// packing is the part of the targets' processors that tasks of like size
 	// can fill.
-	packing = 0.85
+	packing = 0.4
 	// minRetry and maxRetry bound when a refused client may come back.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 3 * time.Second
@@ -56,7 +56,7 @@
 	if j.begun || j.resent {
 		return v, false
 	}
-	wait := r.backlog(j)
+	wait := seconds(r.backlog(j).Seconds() * r.share(j))
 	if r.now.Add(wait).After(j.latest) {
 		v.Reason, v.After = Overload, min(max(r.now.Add(wait).Sub(j.latest), minRetry), maxRetry)
 		return v, true
@@ -64,6 +64,28 @@
 	return v, false
 }
 
+// share returns how a job's wait is weighed: one with much work for its route is
+// refused earlier, since the same work completes several smaller ones.
+func (r *Router) share(j *job) float64 {
+	work := float64(j.spec.Count) * j.task.Seconds() * float64(j.spec.Need.CPU)
+	mean := r.works[j.spec.Route]
+	if mean == 0 {
+		mean = work
+	}
+	r.works[j.spec.Route] = mean + (work-mean)/workWindow
+	return min(baseShare+(1-baseShare)*work/mean, mostShare)
+}
+
+const (
+	// workWindow is the number of jobs over which a route's mean work forgets.
+	workWindow = 100
+	// baseShare is the part of the weight that does not depend on the work.
+	baseShare = 0.4
+	// mostShare bounds the weight, so that large jobs are served at least half
+	// as often as others.
+	mostShare = 1.7
+)
+
 // fitsAny reports whether a task of the job fits a known target of its service,
 // were it idle. While no target is known, it might.
 func (r *Router) fitsAny(spec *Job) bool {
@@ -105,7 +127,7 @@
 		if t.Service != spec.Service || !r.soon(t) {
 			continue
 		}
-		total += t.Room.CPU
+		total += int(float64(t.Room.CPU) / math.Exp(r.speedLog(t.kind())))
 		if !r.usable(t) {
 			continue
 		}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -34,7 +34,7 @@
 	}
 	list := slices.Clone(r.queue.Items())
 	slices.SortFunc(list, func(a, b *job) int {
-		lateA, lateB := r.now.After(a.latest) && !a.begun, r.now.After(b.latest) && !b.begun
+		lateA, lateB := r.now.After(a.latest), r.now.After(b.latest)
 		switch {
 		case lateA != lateB && lateA:
 			return 1
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,7 @@
 	marks   map[string][]Mark
 	learned map[string]*history // by route
 	speeds  map[string]*Speed   // by kind of target
+	works   map[string]float64  // mean work of a job, by route
 	taught  time.Time           // when the others were last told
 	dirty   bool                // something may be placed
 
@@ -85,6 +86,7 @@
 	r.lost = make(map[string]time.Time)
 	r.former = make(map[string]*sighting)
 	r.speeds = make(map[string]*Speed)
+	r.works = make(map[string]float64)
 	r.queue.Less = sooner
 	r.cell(r.Self.Zone)
 	if len(r.Seeds) > 0 {
