--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -149,13 +149,13 @@
 // reconsider gives up a queued job that has become hopeless.
 func (r *Router) reconsider(j *job) {
 	last := j.last()
-	if j.resent && !r.clear(j) && j.cleared.After(r.now) {
-		// Its tasks may still be found running; only time can tell.
-		last = j.deadline
-	}
 	switch {
-	case j.resent && !j.begun && r.now.Sub(j.offered) > r.Bounds.Orphan && j.cleared.Add(j.expect).After(j.deadline) && !r.clear(j):
-		r.giveUp(j, Expired) // nothing of it was found, and it cannot start in time
+	case j.resent && !r.clear(j):
+		// Its other tasks may still be found running for a moment; after that
+		// they cannot start before the quarantine is over.
+		if r.now.Sub(j.offered) > r.Bounds.Orphan && j.cleared.After(last) {
+			r.giveUp(j, Expired)
+		}
 	case r.now.After(last):
 		r.giveUp(j, Expired)
 	case !j.begun && !j.resent && r.now.After(j.latest) && r.pressed(j):
--- a/internal/router/bounds.go
+++ b/internal/router/bounds.go
@@ -10,7 +10,7 @@
 	// Beat is the period of heartbeats: four fit into Silence.
 	Beat time.Duration
 	// Silence is how long a peer may be unheard. It covers a pause of a host
-	// with a small processor share (100 ms) and two lost packets (400 ms).
+	// with a small processor share (100 ms) and a lost packet (200 ms).
 	Silence time.Duration
 	// Trust is how long a holder runs the jobs of a silent host. With a stop
 	// it must end before the client sends the job again (1.3 s on the users'
@@ -74,9 +74,9 @@
 func Standard() Bounds {
 	return Bounds{
 		Tick:       20 * time.Millisecond,
-		Beat:       100 * time.Millisecond,
-		Silence:    500 * time.Millisecond,
-		Trust:      600 * time.Millisecond,
+		Beat:       80 * time.Millisecond,
+		Silence:    400 * time.Millisecond,
+		Trust:      500 * time.Millisecond,
 		Settle:     400 * time.Millisecond,
 		Stagger:    200 * time.Millisecond,
 		Merge:      time.Second,
@@ -89,7 +89,7 @@
 		Order:      200 * time.Millisecond,
 		Stop:       50 * time.Millisecond,
 		Orphan:     150 * time.Millisecond,
-		Quarantine: 1750 * time.Millisecond,
+		Quarantine: 1650 * time.Millisecond,
 		Keep:       5 * time.Second,
 		Directory:  700 * time.Millisecond,
 		Absent:     2500 * time.Millisecond,
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -27,6 +27,8 @@
 	token uint64
 	zones []string
 	since time.Time
+	// stored tells that the claim is only good if the store has taken it.
+	stored bool
 }
 
 const (
@@ -192,7 +194,7 @@
 	}
 	list := r.candidates(c.zone)
 	rank := slices.IndexFunc(list, func(m Member) bool { return m.Address == r.Self.Address })
-	if rank < 0 || !r.represents(c.zone) {
+	if rank < 0 || !r.represents(c.zone) && !r.forsaken(c) {
 		return false
 	}
 	if !c.absent.IsZero() {
@@ -246,6 +248,12 @@
 	return p != nil && r.now.Sub(c.rivals) >= r.Bounds.Merge && r.now.Sub(p.since) >= r.Bounds.Merge
 }
 
+// forsaken reports whether a cell has lacked a holder for so long that no other
+// host seems able to claim it. Then the store decides alone.
+func (r *Router) forsaken(c *cell) bool {
+	return !c.absent.IsZero() && r.now.Sub(c.absent) >= 3*r.Bounds.Silence
+}
+
 // represents reports whether this host is on the side of a cut that should
 // serve a zone: with most of the zone's hosts, or with most of all hosts.
 func (r *Router) represents(zone string) bool {
@@ -254,8 +262,8 @@
 		zoneAll, zoneIn = 1, 1
 	}
 	for _, p := range r.peers {
-		if !p.met || p.leaving {
-			continue
+		if !p.met || p.leaving && !r.reaches(p) {
+			continue // it has not been cut off, it has left
 		}
 		all++
 		if p.member.Zone == zone {
@@ -280,6 +288,9 @@
 	r.generation++
 	token := r.token(r.generation)
 	r.stake = &stake{token: token, zones: zones, since: r.now}
+	for _, zone := range zones {
+		r.stake.stored = r.stake.stored || !r.represents(zone)
+	}
 	rows := make([]Stored, len(zones))
 	for i, zone := range zones {
 		c := r.cells[zone]
@@ -310,10 +321,12 @@
 
 // claimed ends a claim.
 func (r *Router) claimed(e Claimed) {
+	news := false
 	for _, row := range e.Rows {
 		c := r.cell(row.Claim.Zone)
 		c.row = max(c.row, row.Version)
-		if e.Result != Won {
+		if e.Result != Won && row.Claim.Token > c.claim.Token {
+			news = true
 			r.learn(row.Claim)
 		}
 	}
@@ -323,7 +336,10 @@
 	s := r.stake
 	r.stake = nil
 	r.emit(Decide{Action: "claimed", Pairs: []any{"token", s.token, "result", e.Result, "age", r.since(s.since)}})
-	if e.Result == Beaten {
+	if e.Result == Beaten && !news {
+		return // only the versions of the rows were not known; the next tick claims again
+	}
+	if e.Result == Beaten || e.Result == Silent && s.stored {
 		r.postpone(s.zones)
 		return
 	}
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -136,7 +136,8 @@
 func (r *Router) expire(q *request, held bool) {
 	late := r.now.After(q.deadline.Add(slack))
 	least := max(q.job.Expect, minLeft)
-	hopeless := !held && (r.now.Add(least).After(q.deadline) || r.now.Sub(q.arrived) > unheldRetry)
+	since := later(q.arrived, r.cell(r.Self.Zone).absent)
+	hopeless := !held && (r.now.Add(least).After(q.deadline) || r.now.Sub(since) > unheldRetry)
 	if !late && !hopeless {
 		return
 	}
