--- a/cmd/shallotrouter/node.go
+++ b/cmd/shallotrouter/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
@@ -19,6 +20,11 @@
 	"github.com/shallotrouter/shallotrouter/internal/meter"
 )
 
+// collectAt is the growth of the heap, in percent, at which it is collected. The
+// live heap is a few MB, and a collection delays requests on a small processor
+// share.
+const collectAt = 400
+
 // startNode serves as an entry host on the users' platform.
 func startNode(path, text string, check bool) int {
 	settings, err := loader.ParseNode(path, text)
@@ -30,6 +36,7 @@
 		fmt.Println("settings are good")
 		return 0
 	}
+	debug.SetGCPercent(collectAt)
 	metrics := meter.NewHost()
 	queue := &logger.Queue{Output: os.Stdout, Bound: settings.Buffer, Observe: metrics.Omitted.Inc}
 	queue.Init()
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -15,6 +15,9 @@
 	// its target counts as stalled; estimates are off by a factor of two in one
 	// of a hundred runs.
 	stallFactor = 3
+	// stallSlack is the least time that a run gets before it counts as stalled:
+	// two pauses of a target with a processor quota.
+	stallSlack = 200 * time.Millisecond
 	// stallsToBar is how many stalled runs in a row leave a target out.
 	stallsToBar = 2
 	// stallFor is how long a stalled target is left out before a trial.
@@ -42,7 +45,7 @@
 
 // progress takes how far a run has come.
 func (r *Router) progress(n *run, percent float64) {
-	ran := r.now.Sub(n.sent) - travel/2
+	ran := r.now.Sub(n.settled) // the order itself may have taken long
 	if n.state != runRunning || n.job.over || ran <= 0 {
 		return
 	}
@@ -50,7 +53,7 @@
 	if percent >= telling {
 		n.total = seconds(ran.Seconds() * hundred / percent)
 	}
-	slow := float64(ran) > float64(n.expect)*stallFactor*max(percent, 1)/hundred+float64(shortestLook)
+	slow := float64(ran) > float64(n.expect)*stallFactor*max(percent, 1)/hundred+float64(stallSlack)
 	switch {
 	case slow && r.stalled(n, ran):
 	case percent >= telling:
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -32,6 +32,7 @@
 	if r.queue.Len() == 0 {
 		return
 	}
+	r.busy = r.load()
 	list := slices.Clone(r.queue.Items())
 	slices.SortFunc(list, func(a, b *job) int {
 		lateA, lateB := r.now.After(a.latest), r.now.After(b.latest)
@@ -130,22 +131,43 @@
 	latePenalty = 1_000_000
 	// fastPenalty keeps fast targets free for tasks that need them.
 	fastPenalty = 100_000
+	// scarce is the load from which fast targets are kept for those tasks: with
+	// a third of the targets being slow, they are full at two thirds.
+	scarce = 0.6
+	// caution is the factor on an expected run time that one in six runs
+	// exceeds: run times are off by 0.3 (standard deviation of the logarithm).
+	caution = 1.35
 )
 
-// penalty returns what speaks against a target beside the room that is left.
-// Where the task would be in time at a slower target too, faster ones are kept
-// for tasks that would not.
+// penalty returns what speaks against a target beside the room that is left. A
+// task that would be in time at a slower target too leaves the faster ones, once
+// these are scarce, to tasks that would not.
 func (r *Router) penalty(j *job, t *target) int {
 	penalty := 0
 	if j.spec.Rack != "" && !t.has(j.spec.Rack) {
 		penalty += farPenalty
 	}
 	expect := r.expectAt(j, t)
-	if r.now.Add(expect).After(j.goal) {
+	if r.now.Add(seconds(expect.Seconds()*caution) + travel).After(j.goal) {
 		return penalty + latePenalty + int(expect.Milliseconds())
 	}
-	slowest := max(j.task.Seconds(), 1e-3)
-	return penalty + int(fastPenalty*slowest/max(expect.Seconds(), 1e-3))
+	speed := j.task.Seconds() / max(expect.Seconds(), 1e-3)
+	if r.busy < scarce {
+		speed = -speed
+	}
+	return penalty + int(fastPenalty*speed)
+}
+
+// load returns the part of the processors of usable targets that is in use.
+func (r *Router) load() float64 {
+	used, total := 0, 0
+	for _, t := range r.targets {
+		if r.usable(t) {
+			used += t.used.CPU
+			total += t.Room.CPU
+		}
+	}
+	return float64(used) / float64(max(total, 1))
 }
 
 // has reports whether a target has a label; the empty one is had by all.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,6 +51,7 @@
 	works   map[string]float64  // mean work of a job, by route
 	taught  time.Time           // when the others were last told
 	dirty   bool                // something may be placed
+	busy    float64             // load of the usable targets
 
 	lost    map[string]time.Time // when the jobs of a lost cell are dropped, by zone
 	leaving time.Time            // when the shutdown began
