router: links are replaced after three quarters of the silence

Cause: an echo is up to two heartbeats old, which was the bound; links were replaced by mistake and messages waited for the next heartbeat.

--- a/cmd/shallotrouter/node.go
+++ b/cmd/shallotrouter/node.go
@@ -23,7 +23,7 @@
 // collectAt is the growth of the heap, in percent, at which it is collected. The
 // live heap is a few MB, and a collection delays requests on a small processor
 // share.
-const collectAt = 400
+const collectAt = 200
 
 // startNode serves as an entry host on the users' platform.
 func startNode(path, text string, check bool) int {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -151,7 +151,7 @@
 				"host", p.member.Name, "state", "silent", "age", r.now.Sub(p.echoed).String(), "bound", r.Bounds.Silence.String(),
 			}})
 		}
-		if p.met && r.now.Sub(p.echoed) > r.Bounds.Silence/2 && r.now.Sub(p.redialled) > r.Bounds.Silence {
+		if p.met && r.now.Sub(p.echoed) > r.Bounds.Silence*3/4 && r.now.Sub(p.redialled) > r.Bounds.Silence {
 			p.redialled = r.now
 			r.emit(Redial{Address: p.member.Address})
 		}
