router: strong hosts hold cells; a repeated offer that is turned down counts as begun

Cause of REFUSED on the grown site: an offer is repeated when a link is made anew; a holder that had lost the cell meanwhile turned the second one down, and the job counted as never offered. Tests in origin_test.go fail without the change.

--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -31,6 +31,9 @@
 // connection that is being closed.
 const clientIdle = 60 * time.Second
 
+// milli turns cores into thousandths.
+const milli = 1000
+
 // Node is an entry host on the users' platform. Settings, Clock and Log are set
 // before Run.
 type Node struct {
@@ -65,7 +68,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	v := n.Settings
-	self := router.Member{Name: v.Name, Zone: v.Zone, Address: v.Links, Life: n.Clock.Now().UnixNano()}
+	self := router.Member{Name: v.Name, Zone: v.Zone, Address: v.Links, Life: n.Clock.Now().UnixNano(), Power: int(v.Power * milli)}
 	d := &driver.Driver{
 		Router: &router.Router{Self: self, Bounds: v.Bounds, Seeds: v.Seeds},
 		Clock:  n.Clock, Log: n.Log, Meter: n.Meter, Throttle: logger.NewThrottle(n.Log, v.Lines),
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -147,7 +147,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Address, b.Address))
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(a.Slot, b.Slot), cmp.Compare(a.Address, b.Address))
 	})
 	return list
 }
@@ -203,6 +203,10 @@
 	return r.merges(c, list)
 }
 
+// weak reports whether a host has less than half the processor share of the best,
+// so that a cell is worth moving.
+func weak(m, best Member) bool { return 2*m.Power < best.Power }
+
 // awaited reports whether the holder of a cell was heard of so lately that it may
 // only not be in touch yet. One that is known to leave or to be dead is not
 // waited for.
@@ -233,9 +237,11 @@
 		if at < 0 {
 			return false
 		}
-		first = list[at]
-	} else if c.claim.Holder.Zone == c.zone {
-		return false // any host of the zone will do
+		if !weak(list[at], first) {
+			first = list[at]
+		}
+	} else if c.claim.Holder.Zone == c.zone && !weak(c.claim.Holder, first) {
+		return false // any strong host of the zone will do
 	}
 	if first.Address != r.Self.Address {
 		c.rivals = time.Time{}
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -25,6 +25,9 @@
 	// Slot is the member's number in the platform's store, from 1; 0 means that
 	// it is not registered yet and cannot hold a cell.
 	Slot int `cbor:"5,keyasint"`
+	// Power is the host's processor share in thousandths of a core; stronger
+	// hosts hold cells first.
+	Power int `cbor:"6,keyasint"`
 }
 
 // Beat is the heartbeat between two hosts.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -15,6 +15,8 @@
 	// under which it was offered; both are zero while none has it.
 	holder string
 	token  uint64
+	// sends is how often that holder was offered the job.
+	sends int
 	// prior are the zones of the earlier holders; empty until there was one.
 	prior []string
 	done  []int
@@ -62,7 +64,7 @@
 	if q.holder != "" {
 		r.moved(q)
 	}
-	q.holder, q.token = h.Address, c.claim.Token
+	q.holder, q.token, q.sends = h.Address, c.claim.Token, 0
 	r.emit(Decide{Action: "offer", Job: q.job.ID, Pairs: []any{
 		"holder", h.Name, "token", q.token, "left", q.deadline.Sub(r.now).String(), "resent", len(q.prior) > 0, "tasks", q.job.Count,
 	}})
@@ -86,6 +88,7 @@
 
 // offerOf returns what a holder is told of a request.
 func (r *Router) offerOf(q *request) *Offer {
+	q.sends++
 	return &Offer{
 		Job: q.job, Left: q.deadline.Sub(r.now), Spent: r.now.Sub(q.arrived),
 		Resent: len(q.prior) > 0, Zones: q.prior, Done: q.done, Base: q.base,
@@ -162,7 +165,11 @@
 	}
 	switch {
 	case v.Outcome == Elsewhere:
-		// It was not taken; watchRequests offers it to the holder in force.
+		// It was not taken; watchRequests offers it to the holder in force. An
+		// earlier offer to the same holder may have been.
+		if q.sends > 1 {
+			r.moved(q)
+		}
 		q.holder, q.token = "", 0
 		return
 	case v.Outcome == Refused && len(q.prior) > 0:
--- /dev/null
+++ b/internal/router/origin_test.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// bed is one router with a peer that holds all cells.
+type bed struct {
+	router *Router
+	now    time.Time
+	peer   Member
+	last   []Effect
+}
+
+const origin = 1_800_000_000
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{now: time.Unix(origin, 0)}
+	b.router = &Router{Self: Member{Name: "a", Zone: "north", Address: "10.0.0.1:1", Life: 1}, Bounds: Standard()}
+	b.peer = Member{Name: "b", Zone: "north", Address: "10.0.0.2:1", Life: 1, Slot: 1}
+	b.step(Tick{})
+	b.step(Enrol{Slot: 2, Life: 1, Members: []Member{b.peer}})
+	b.hold(1)
+	require.True(t, b.router.reaches(b.router.peers[b.peer.Address]))
+	return b
+}
+
+func (b *bed) step(e Event) []Effect {
+	b.last = b.router.Step(b.now, e)
+	return b.last
+}
+
+// pass lets time go by in ticks, with heartbeats of the peer.
+func (b *bed) pass(d time.Duration, generation uint64) []Effect {
+	var all []Effect
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(b.router.Bounds.Tick)
+		all = append(all, b.hold(generation)...)
+		all = append(all, b.step(Tick{})...)
+	}
+	return all
+}
+
+// hold hears a heartbeat of the peer, which holds the zone; 0 means no claim.
+func (b *bed) hold(generation uint64) []Effect {
+	beat := &Beat{Member: b.peer, Sent: b.now.UnixNano(), Echo: b.now.UnixNano()}
+	if generation > 0 {
+		beat.Claims = []Claim{{Zone: "north", Token: generation << (slotBits + lifeBits), Holder: b.peer}}
+	}
+	return b.step(Receive{From: b.peer.Address, Message: Message{Beat: beat}})
+}
+
+func pair(id string) Job {
+	return Job{ID: id, Route: "r", Service: "work", Count: 2, Need: Room{CPU: 1000, Memory: 1}, Expect: 100 * time.Millisecond, Attempts: 2, Stretch: 1.6}
+}
+
+// offers returns the offers among effects.
+func offers(effects []Effect) []Offer {
+	var list []Offer
+	for _, e := range effects {
+		if s, ok := e.(Send); ok && s.Message.Offer != nil {
+			list = append(list, *s.Message.Offer)
+		}
+	}
+	return list
+}
+
+// answers returns the answers among effects.
+func answers(effects []Effect) []Verdict {
+	var list []Verdict
+	for _, e := range effects {
+		if a, ok := e.(Answer); ok {
+			list = append(list, a.Verdict)
+		}
+	}
+	return list
+}
+
+func (b *bed) verdict(v Verdict) []Effect {
+	return b.step(Receive{From: b.peer.Address, Message: Message{Verdict: &v}})
+}
+
+// TestRefusalIsTrue: a holder that was offered a job twice, over a link that was
+// made anew, may have begun it before it lost the cell. Its word that it does not
+// hold the cell answers the second offer only, so a later refusal would not be
+// true.
+func TestRefusalIsTrue(t *testing.T) {
+	b := newBed(t)
+	effects := b.step(Submit{Request: 1, Job: pair("j"), Budget: 5 * time.Second})
+	require.Len(t, offers(effects), 1)
+	require.Len(t, offers(b.step(Linked{Address: b.peer.Address})), 1)
+	b.verdict(Verdict{ID: "j", Outcome: Elsewhere})
+	again := offers(b.pass(40*time.Millisecond, 1))
+	require.NotEmpty(t, again)
+	assert.True(t, again[0].Resent, "the next offer tells that the job may have begun")
+	got := answers(b.verdict(Verdict{ID: "j", Outcome: Refused, Reason: Overload}))
+	require.Len(t, got, 1)
+	assert.Equal(t, Unknown, got[0].Outcome)
+}
+
+// TestElsewhere: a first offer that is turned down leaves the job untouched.
+func TestElsewhere(t *testing.T) {
+	b := newBed(t)
+	b.step(Submit{Request: 1, Job: pair("j"), Budget: 5 * time.Second})
+	b.verdict(Verdict{ID: "j", Outcome: Elsewhere})
+	again := offers(b.pass(40*time.Millisecond, 1))
+	require.NotEmpty(t, again)
+	assert.False(t, again[0].Resent)
+	got := answers(b.verdict(Verdict{ID: "j", Outcome: Refused, Reason: Overload, After: time.Second}))
+	require.Len(t, got, 1)
+	assert.Equal(t, Refused, got[0].Outcome)
+	assert.Equal(t, time.Second, got[0].After)
+}
+
+// TestTakeoverIsAwaited: a job that has run for a while is not given up the moment
+// its holder falls silent; the next one takes it over.
+func TestTakeoverIsAwaited(t *testing.T) {
+	b := newBed(t)
+	b.step(Submit{Request: 1, Job: pair("j"), Budget: 8 * time.Second})
+	assert.Empty(t, answers(b.pass(2*time.Second, 1)))
+	b.now = b.now.Add(b.router.Bounds.Silence + b.router.Bounds.Tick)
+	assert.Empty(t, answers(b.step(Tick{})), "the holder has just fallen silent")
+	assert.NotEmpty(t, offers(b.hold(2)), "the job is offered under the new claim")
+}
+
+// TestUnheld: without a holder, a job that was never offered is refused as not
+// run within the time of a claim.
+func TestUnheld(t *testing.T) {
+	b := &bed{now: time.Unix(origin, 0)}
+	b.router = &Router{Self: Member{Name: "a", Zone: "north", Address: "10.0.0.1:1", Life: 1}, Bounds: Standard()}
+	b.step(Tick{})
+	b.step(Submit{Request: 1, Job: pair("j"), Budget: 5 * time.Second})
+	var got []Verdict
+	for range 40 {
+		b.now = b.now.Add(b.router.Bounds.Tick)
+		got = append(got, answers(b.step(Tick{}))...)
+	}
+	require.Len(t, got, 1)
+	assert.Equal(t, Refused, got[0].Outcome)
+	assert.Positive(t, got[0].After)
+}
