--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -111,6 +111,7 @@
 	}
 	p.leaving, p.config, p.directory, p.age = b.Leaving, b.Config, b.Directory, b.Age
 	r.generation = max(r.generation, b.Generation)
+	before := r.cell(r.Self.Zone).claim.Token
 	for _, c := range b.Claims {
 		r.learn(c)
 	}
@@ -120,6 +121,9 @@
 	if r.reaches(p) {
 		r.inTouch(p)
 	}
+	if r.cell(r.Self.Zone).claim.Token != before {
+		r.reoffer()
+	}
 }
 
 // inTouch notes that messages pass both ways and passes on what the peer lacks.
