--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -30,6 +30,7 @@
 	located   time.Time            // when the directory was last read by this host
 	asked     time.Time            // when it was last asked for
 	outage    time.Time            // when reads of the directory began to fail
+	returned  time.Time            // when the store was back after its last long outage
 
 	life       int // tells this process's tokens from those of its earlier lives
 	generation uint64
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -205,30 +205,24 @@
 func (r *Router) locate(e Locate) {
 	if !r.outage.IsZero() {
 		r.emit(Decide{Action: "store", Pairs: []any{"state", "regained", "after", r.since(r.outage)}})
-	}
-	if !r.outage.IsZero() && r.now.Sub(r.outage) > time.Second {
-		r.graceEntries(&e.Directory)
-	} else {
+		if r.now.Sub(r.outage) > shortOutage {
+			r.returned = r.now
+		}
 		r.outage = time.Time{}
 	}
+	if !r.returned.IsZero() && r.now.Sub(r.returned) <= r.Bounds.Absent {
+		r.keepAbsent(&e.Directory)
+	}
 	r.located = e.Asked
 	r.take(e.Directory, e.Asked, "store")
 }
 
-// graceEntries keeps entries that lapsed while the store was away, until their
+// shortOutage is how long the store may be away before entries of targets lapse.
+const shortOutage = time.Second
+
+// keepAbsent keeps entries that lapsed while the store was away, until their
 // targets have had time to register again.
-func (r *Router) graceEntries(d *Directory) {
-	if r.outage.IsZero() {
-		return
-	}
-	if r.located.Before(r.outage) {
-		r.outage = r.now.Add(-time.Second - 1) // from here on the grace counts
-		r.located = r.now
-	}
-	if r.now.Sub(r.outage) > r.Bounds.Absent+time.Second {
-		r.outage = time.Time{}
-		return
-	}
+func (r *Router) keepAbsent(d *Directory) {
 	for _, old := range r.directory.Targets {
 		if !slices.ContainsFunc(d.Targets, func(t Target) bool { return t.ID == old.ID }) {
 			d.Targets = append(d.Targets, old)
