--- a/internal/router/holder_test.go
+++ b/internal/router/holder_test.go
@@ -226,3 +226,16 @@
 	require.Len(t, list, 2)
 	assert.Equal(t, "a", list[0].Name)
 }
+
+// TestStaleOffer: an offer that comes out of a cut, from a host that has not been
+// heard for long, starts nothing; its client may have been answered long ago.
+func TestStaleOffer(t *testing.T) {
+	b := newHolderBed(t, 2, Won)
+	peer := Member{Name: "b", Zone: "north", Address: "10.0.0.2:1", Life: 1, Slot: 1}
+	b.step(Receive{From: peer.Address, Message: Message{Beat: &Beat{Member: peer, Sent: 1, Echo: b.now.UnixNano()}}})
+	b.now = b.now.Add(5 * time.Second)
+	effects := b.step(Receive{From: peer.Address, Message: Message{Offer: &Offer{Job: pair("j"), Left: time.Second}}})
+	assert.Empty(t, only[Start](effects))
+	require.Len(t, only[Send](effects), 1)
+	assert.Equal(t, Elsewhere, only[Send](effects)[0].Message.Verdict.Outcome)
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -103,7 +103,8 @@
 		origin = p.member
 	}
 	c := r.cells[origin.Zone]
-	if c == nil || !c.mine {
+	stale := p != nil && !r.reaches(p) // it may have been on its way through a cut
+	if c == nil || !c.mine || stale {
 		r.tell(origin.Address, Verdict{ID: o.Job.ID, Outcome: Elsewhere})
 		return
 	}
