--- /dev/null
+++ b/cmd/shallotctl/explain.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/shallotrouter/shallotrouter/internal/explainer"
+)
+
+// runExplain tells a job's story from logs.
+func runExplain(_ context.Context, t *tool, args []string) error {
+	set := t.flags("explain", "ID [LOG ...]")
+	machine := set.Bool("json", false, "print the outcome, the cause and its evidence as JSON")
+	if err := set.Parse(args); err != nil {
+		return errUsage
+	}
+	if set.NArg() == 0 {
+		set.Usage()
+		return errUsage
+	}
+	reader := &explainer.Reader{}
+	if err := readLogs(reader, set.Args()[1:]); err != nil {
+		return err
+	}
+	story, found := reader.Explain(set.Arg(0))
+	if !found {
+		fmt.Fprintf(t.errors, "no line names job %s; give the logs of all entry hosts of that time\n", set.Arg(0))
+		return errFailed
+	}
+	if *machine {
+		return json.NewEncoder(t.out).Encode(story)
+	}
+	return story.Write(t.out)
+}
+
+// readLogs reads the named files, or standard input when there is none.
+func readLogs(reader *explainer.Reader, paths []string) error {
+	if len(paths) == 0 {
+		return reader.Read(os.Stdin)
+	}
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		err = reader.Read(file)
+		file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/shallotctl/main.go
+++ b/cmd/shallotctl/main.go
@@ -4,6 +4,7 @@
 //	shallotctl diff|apply [flags] FILE
 //	shallotctl preset [flags] ordinary|peak|maintenance
 //	shallotctl history|status|wait|drain|submit [flags]
+//	shallotctl explain [-json] ID [LOG ...]
 //
 // It exits with 0 when all is well, 1 when something was refused or failed and
 // nothing was changed, 2 when the command line is wrong, and 3 when it is not
@@ -54,6 +55,7 @@
 		{"wait", "wait until a version is in force on all hosts", runWait},
 		{"drain", "drain a host or a target", runDrain},
 		{"submit", "submit a job and show its answer", runSubmit},
+		{"explain", "tell from logs why a job ended as it did", runExplain},
 	}
 }
 
--- a/cmd/shallotrouter/node.go
+++ b/cmd/shallotrouter/node.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	go (&writer{queue: queue}).run(writing)
 	defer queue.Flush()
-	log := logger.New(queue, settings.Verbosity)
+	log := logger.New(queue, settings.Verbosity).WithValues("host", settings.Name)
 	n := &assembler.Node{Settings: settings, Clock: clocker.NewBoot(clockwork.NewRealClock()), Log: log, Meter: metrics}
 	n.Init()
 	watch(n)
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -95,7 +95,7 @@
 	}
 	registry.Run(ctx)
 	go (&part{work: d.Run}).run(ctx)
-	n.Log.Info("serving", "host", v.Name, "zone", v.Zone, "clients", v.Clients, "links", v.Links, "pid", os.Getpid())
+	n.Log.Info("serving", "zone", v.Zone, "clients", v.Clients, "links", v.Links, "pid", os.Getpid())
 	return n.wait(ctx, d, servers, failed)
 }
 
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,57 @@
+package explainer
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// read reads the log of a played day, of which the page for operators shows lines.
+func read(t *testing.T) *Reader {
+	t.Helper()
+	file, err := os.Open("testdata/day.log")
+	require.NoError(t, err)
+	defer file.Close()
+	r := &Reader{}
+	require.NoError(t, r.Read(file))
+	return r
+}
+
+func TestExplain(t *testing.T) {
+	for _, c := range []struct{ name, job, outcome, reason, cause, evidence string }{
+		{"refused at the door", "188ad26e8ac4bdd7", "refused", "overload", "it could wait 143ms", "refuse"},
+		{"answered late", "7fabd05e1c9b87bf", "complete", "", "tasks had to be started again", "how=failed"},
+		{"holder lost", "1354758d976ae520", "unknown", "expired", "its holder was lost", "state=silent"},
+		{"given up after its start", "b541bff1b030c847", "failed", "expired", "its time ran out", "holder"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			story, found := read(t).Explain(c.job)
+			require.True(t, found)
+			assert.Equal(t, c.outcome, story.Outcome)
+			assert.Equal(t, c.reason, story.Reason)
+			assert.Contains(t, story.Cause, c.cause)
+			assert.Contains(t, strings.Join(story.Evidence, "\n"), c.evidence)
+			var text strings.Builder
+			require.NoError(t, story.Write(&text))
+			assert.Contains(t, text.String(), "answer")
+		})
+	}
+}
+
+func TestUnknownJob(t *testing.T) {
+	_, found := read(t).Explain("0000000000000000")
+	assert.False(t, found)
+}
+
+// TestUnreadable: lines that are no JSON are counted, and a prefix is passed over.
+func TestUnreadable(t *testing.T) {
+	r := &Reader{}
+	require.NoError(t, r.Read(strings.NewReader("host-1 | {\"time\":\"2026-01-01T00:00:00Z\",\"msg\":\"answer\",\"job\":\"j\",\"outcome\":\"failed\",\"reason\":\"misfit\"}\n{broken\nplain\n")))
+	story, found := r.Explain("j")
+	require.True(t, found)
+	assert.Equal(t, 1, story.Skipped)
+	assert.Contains(t, story.Cause, "more than any target")
+}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -98,7 +98,7 @@
 		return // a message of an earlier process
 	}
 	if b.Member.Life > p.member.Life && p.met {
-		r.emit(Decide{Action: "peer", Pairs: []any{"host", b.Member.Name, "state", "restarted"}})
+		r.emit(Decide{Action: "peer", Pairs: []any{"peer", b.Member.Name, "state", "restarted"}})
 		r.dropOrigin(p.member.Address)
 		*p = peer{heard: r.now}
 	}
@@ -132,7 +132,7 @@
 	if p.since.IsZero() {
 		p.since = r.now
 		p.met = true
-		r.emit(Decide{Action: "peer", Pairs: []any{"host", p.member.Name, "zone", p.member.Zone, "state", "reached"}})
+		r.emit(Decide{Action: "peer", Pairs: []any{"peer", p.member.Name, "zone", p.member.Zone, "state", "reached"}})
 	}
 	if r.config != nil && p.config < r.config.Version {
 		p.config = r.config.Version
@@ -152,7 +152,7 @@
 		if !p.since.IsZero() && !r.reaches(p) {
 			p.since = time.Time{}
 			r.emit(Decide{Action: "peer", Pairs: []any{
-				"host", p.member.Name, "state", "silent", "age", r.now.Sub(p.echoed).String(), "bound", r.Bounds.Silence.String(),
+				"peer", p.member.Name, "state", "silent", "age", r.now.Sub(p.echoed).String(), "bound", r.Bounds.Silence.String(),
 			}})
 		}
 		if p.met && r.now.Sub(p.echoed) > r.Bounds.Silence*3/4 && r.now.Sub(p.redialled) > r.Bounds.Silence {
@@ -203,7 +203,7 @@
 func (r *Router) forget(p *peer) {
 	delete(r.peers, p.member.Address)
 	r.emit(Hangup{Address: p.member.Address})
-	r.emit(Decide{Action: "peer", Pairs: []any{"host", p.member.Name, "state", "forgotten"}})
+	r.emit(Decide{Action: "peer", Pairs: []any{"peer", p.member.Name, "state", "forgotten"}})
 	if c := r.cells[r.Self.Zone]; c != nil && c.mine && p.member.Slot > 0 {
 		r.emit(Expel{Member: p.member})
 	}
