--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -15,9 +15,13 @@
 	// lateFactor is how many times the objective an answer may take and still
 	// be of some use to the client.
 	lateFactor = 3
-	// packing is the part of the targets' processors that tasks of like size
-	// can fill.
+	// packing is the part of the targets' processors that a job can count on
+	// for the work before it: jobs that come later and must start sooner take
+	// their part as well. The model has the best worth at 1.1 to 2.2 times the
+	// usual load with it.
 	packing = 0.4
+	// ownPacking is the part that tasks of like size can fill.
+	ownPacking = 0.8
 	// minRetry and maxRetry bound when a refused client may come back.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 3 * time.Second
@@ -104,7 +108,7 @@
 
 // backlog returns how long a job's last task would wait behind the queue.
 func (r *Router) backlog(j *job) time.Duration {
-	work := float64(j.waiting*j.spec.Need.CPU) * j.expect.Seconds()
+	work := float64(j.waiting*j.spec.Need.CPU) * j.expect.Seconds() * packing / ownPacking
 	free, total := r.capacity(&j.spec)
 	ahead := 0
 	for _, other := range r.queue.Items() {
