--- a/cmd/shallotctl/explain.go
+++ b/cmd/shallotctl/explain.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"flag"
 	"fmt"
 	"os"
 
@@ -14,6 +16,9 @@
 	set := t.flags("explain", "ID [LOG ...]")
 	machine := set.Bool("json", false, "print the outcome, the cause and its evidence as JSON")
 	if err := set.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return err
+		}
 		return errUsage
 	}
 	if set.NArg() == 0 {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -149,6 +149,28 @@
 		d.answer(e.Request, e)
 	case router.Pending:
 		d.answer(e.Request, e)
+	case router.Send, router.Dial, router.Hangup, router.Redial:
+		d.link(e)
+	case router.Start, router.Stop, router.Renew, router.Retire:
+		d.order(e)
+	case router.Stake:
+		d.Store.Stake(e)
+	case router.Read:
+		d.Store.Read()
+	case router.Expel:
+		d.Store.Expel(e.Member)
+	case router.Decide:
+		d.Meter.Decisions.WithLabelValues(e.Action).Inc()
+		d.Throttle.Info(now, e.Action, pairs(e)...)
+	case router.Violate:
+		d.Meter.Violations.WithLabelValues(e.Invariant).Inc()
+		d.Log.Error(nil, "invariant broken", "invariant", e.Invariant, "detail", e.Detail)
+	}
+}
+
+// link carries out an effect on the links to other hosts.
+func (d *Driver) link(effect router.Effect) {
+	switch e := effect.(type) {
 	case router.Send:
 		d.Links.Send(e.To, e.Message)
 	case router.Dial:
@@ -159,6 +181,12 @@
 		d.Links.Hangup(e.Address)
 	case router.Redial:
 		d.Links.Redial(e.Address)
+	}
+}
+
+// order carries out an effect on a target.
+func (d *Driver) order(effect router.Effect) {
+	switch e := effect.(type) {
 	case router.Start:
 		d.Targets.Start(e)
 	case router.Stop:
@@ -167,18 +195,6 @@
 		d.Targets.Renew(e)
 	case router.Retire:
 		d.Targets.Retire(e)
-	case router.Stake:
-		d.Store.Stake(e)
-	case router.Read:
-		d.Store.Read()
-	case router.Expel:
-		d.Store.Expel(e.Member)
-	case router.Decide:
-		d.Meter.Decisions.WithLabelValues(e.Action).Inc()
-		d.Throttle.Info(now, e.Action, pairs(e)...)
-	case router.Violate:
-		d.Meter.Violations.WithLabelValues(e.Invariant).Inc()
-		d.Log.Error(nil, "invariant broken", "invariant", e.Invariant, "detail", e.Detail)
 	}
 }
 
--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -18,14 +18,27 @@
 
 // troubles are what random worlds draw from.
 var troubles = []Fault{
-	{Trouble: Kill, Where: "holder"}, {Trouble: Kill},
-	{Trouble: Freeze, Where: "holder"}, {Trouble: Freeze},
-	{Trouble: Restart, Where: "holder"}, {Trouble: Restart},
-	{Trouble: CutHost, Where: "holder"}, {Trouble: CutHost},
-	{Trouble: CutStore, Where: "holder"}, {Trouble: CutStore},
-	{Trouble: CutZone}, {Trouble: StoreDown}, {Trouble: StoreSlow}, {Trouble: StoreLost},
-	{Trouble: KillTarget, Share: 0.2}, {Trouble: FailTarget, Share: 0.2}, {Trouble: HangTarget, Share: 0.2},
-	{Trouble: SlowTarget, Share: 0.2}, {Trouble: Drain, Share: 0.2}, {Trouble: KillAll}, {Trouble: Surge, Times: 2},
+	{Trouble: Kill, Where: "holder"},
+	{Trouble: Kill},
+	{Trouble: Freeze, Where: "holder"},
+	{Trouble: Freeze},
+	{Trouble: Restart, Where: "holder"},
+	{Trouble: Restart},
+	{Trouble: CutHost, Where: "holder"},
+	{Trouble: CutHost},
+	{Trouble: CutStore, Where: "holder"},
+	{Trouble: CutStore},
+	{Trouble: CutZone},
+	{Trouble: StoreDown},
+	{Trouble: StoreSlow},
+	{Trouble: StoreLost},
+	{Trouble: KillTarget, Share: 0.2},
+	{Trouble: FailTarget, Share: 0.2},
+	{Trouble: HangTarget, Share: 0.2},
+	{Trouble: SlowTarget, Share: 0.2},
+	{Trouble: Drain, Share: 0.2},
+	{Trouble: KillAll},
+	{Trouble: Surge, Times: 2},
 }
 
 // randomWorld draws a small deployment and two to five troubles.
--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -12,7 +12,6 @@
 type store struct {
 	world   *World
 	down    bool
-	lapses  bool // entries of targets lapse while it is down
 	lost    bool // writes take effect and are not answered
 	delay   time.Duration
 	version uint64
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -19,9 +19,10 @@
 )
 
 const (
-	// Members and Cells are the tables of this product.
+	// Members is the table of the entry hosts.
 	Members = "member"
-	Cells   = "cell"
+	// Cells is the table of the claims.
+	Cells = "cell"
 	// slots is the number of members that can be registered; a token has ten
 	// bits for them, and 0 means none.
 	slots = 1<<10 - 1
--- a/internal/router/holder_test.go
+++ b/internal/router/holder_test.go
@@ -239,3 +239,24 @@
 	require.Len(t, only[Send](effects), 1)
 	assert.Equal(t, Elsewhere, only[Send](effects)[0].Message.Verdict.Outcome)
 }
+
+// TestSecondSubmissionIsNotRefused: a job of which tasks were started for an
+// earlier submission is not refused as not run, even if there is no room for it.
+func TestSecondSubmissionIsNotRefused(t *testing.T) {
+	b := newHolderBed(t, 1, Won)
+	peer := Member{Name: "b", Zone: "north", Address: "10.0.0.2:1", Life: 1, Slot: 1}
+	hear := func() {
+		b.step(Receive{From: peer.Address, Message: Message{Beat: &Beat{Member: peer, Sent: b.now.UnixNano(), Echo: b.now.UnixNano()}}})
+	}
+	offer := func() []Send {
+		return only[Send](b.step(Receive{From: peer.Address, Message: Message{Offer: &Offer{Job: pair("j"), Left: 300 * time.Millisecond}}}))
+	}
+	hear()
+	assert.Empty(t, offer())
+	b.router.dropOrigin(peer.Address)
+	b.step(Submit{Request: 1, Job: pair("other"), Budget: 9 * time.Second})
+	hear()
+	sends := offer()
+	require.Len(t, sends, 1)
+	assert.Equal(t, Unknown, sends[0].Message.Verdict.Outcome)
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -19,6 +19,8 @@
 	done    int
 	// begun tells that a task may have started.
 	begun bool
+	// tried tells that a task may have started for an earlier submission.
+	tried bool
 	// over tells that the verdict is out; verdict is what it was.
 	over    bool
 	verdict Verdict
@@ -116,6 +118,7 @@
 	j := r.accept(origin.Address, o)
 	j.succeed(earlier)
 	if v, refused := r.admit(j); refused {
+		v.Outcome = j.truthful(v.Outcome)
 		r.emit(Decide{Action: "refuse", Job: j.spec.ID, Pairs: r.inputs(j, "reason", v.Reason, "after", v.After.String())})
 		r.tell(origin.Address, v)
 		return
@@ -142,6 +145,7 @@
 	if earlier == nil {
 		return
 	}
+	j.tried = earlier.begun || earlier.tried
 	for i := range min(len(j.tasks), len(earlier.tasks)) {
 		k, old := &j.tasks[i], &earlier.tasks[i]
 		k.last, k.former = max(k.last, old.last), old.run
@@ -276,9 +280,19 @@
 	}
 }
 
+// truthful returns the outcome to tell of a job: it is not refused as not run once
+// a task may have started for an earlier submission.
+func (j *job) truthful(outcome Outcome) Outcome {
+	if outcome == Refused && j.tried {
+		return Unknown
+	}
+	return outcome
+}
+
 // end gives a job its verdict, once, and stops what still runs.
 func (r *Router) end(j *job, v Verdict) {
 	v.ID = j.spec.ID
+	v.Outcome = j.truthful(v.Outcome)
 	if v.Outcome == Refused && j.begun {
 		r.violate("a refusal is true", "%s was begun", j.spec.ID)
 		v.Outcome = Failed
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -165,38 +165,41 @@
 		if n.job.over || n.job.tasks[n.task].run != n {
 			r.halt(n)
 		}
+	case Invalid:
+		r.over(n, Broke)
+	case Doubtful:
+		n.state = runDoubtful
+		r.halt(n)
+		r.emit(Retire{ID: t.ID})
+		r.look(t)
+	default:
+		r.turnedDown(t, n, e.Result)
+	}
+	r.dirty = true
+}
+
+// turnedDown takes back a run that its target did not begin.
+func (r *Router) turnedDown(t *target, n *run, result StartResult) {
+	if result == Outdated {
+		n.job.tasks[n.task].last += runStride
+	}
+	r.unstarted(n)
+	switch result {
 	case Fenced:
-		r.unstarted(n)
 		r.repelled(t, t.token)
-	case Outdated:
-		n.job.tasks[n.task].last += runStride
-		r.unstarted(n)
 	case Belated:
-		r.unstarted(n)
 		r.look(t)
 	case Crowded:
-		r.unstarted(n)
 		t.barred = later(t.barred, r.now.Add(crowdedFor))
 		r.look(t)
 	case Unhealthy:
-		r.unstarted(n)
 		r.bar(t, unhealthyFor, "unhealthy")
 	case Unsent:
-		r.unstarted(n)
 		t.misses++
 		r.renew(t)
-	case Invalid:
-		r.over(n, Broke)
 	case Replaced:
-		r.unstarted(n)
 		r.replaced(t)
-	case Doubtful:
-		n.state = runDoubtful
-		r.halt(n)
-		r.emit(Retire{ID: t.ID})
-		r.look(t)
 	}
-	r.dirty = true
 }
 
 // halt orders a run to stop.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,14 +100,8 @@
 	switch e := e.(type) {
 	case Tick:
 		r.tick()
-	case Submit:
-		r.submit(e)
-	case Abandon:
-		r.abandon(e)
-	case Cancel:
-		r.cancel(e)
-	case Count:
-		r.count(e)
+	case Submit, Abandon, Cancel, Count:
+		r.serve(e)
 	case Receive:
 		r.receive(e)
 	case Adopt:
@@ -135,6 +129,20 @@
 	}
 }
 
+// serve applies an event of a client of this host.
+func (r *Router) serve(e Event) {
+	switch e := e.(type) {
+	case Submit:
+		r.submit(e)
+	case Abandon:
+		r.abandon(e)
+	case Cancel:
+		r.cancel(e)
+	case Count:
+		r.count(e)
+	}
+}
+
 // tick does what time brings about.
 func (r *Router) tick() {
 	r.watchPeers()
