router: targets in an ordered list; tests: processes that are frozen have a group of their own

Cause of TestFrozenHome failing 1 in 14 (-race): the kernel hangs up a stopped process whose group loses its session; the log of the ended daemon says 'signal: hangup'.

--- a/cmd/shallotrouter/process_test.go
+++ b/cmd/shallotrouter/process_test.go
@@ -171,11 +171,19 @@
 	p.command.Env = append(os.Environ(), roleVariable+"="+role, settingsVariable+"="+strings.ReplaceAll(settings, "ADDRESS", p.address))
 	p.command.ExtraFiles = []*os.File{file}
 	p.command.Stderr = p.log
+	// The kernel hangs up a stopped process whose group loses its session, so
+	// that a daemon that a test freezes needs a group of its own.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	require.NoError(d.t, p.command.Start())
 	require.NoError(d.t, listener.Close())
 	require.NoError(d.t, file.Close())
 	go p.run()
-	d.t.Cleanup(p.kill)
+	d.t.Cleanup(func() {
+		p.kill()
+		if d.t.Failed() {
+			d.t.Logf("%s %s ended by %v:\n%s", role, name, p.command.ProcessState, p.log)
+		}
+	})
 	return p
 }
 
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -129,11 +129,11 @@
 // capacity returns how many tasks of the job could start now, and the processors
 // of all targets that could run it, in thousandths of a core.
 func (r *Router) capacity(spec *Job) (free, total int) {
-	for _, t := range r.targets {
+	for _, t := range r.pool {
 		if t.Service != spec.Service || !r.soon(t) {
 			continue
 		}
-		total += int(float64(t.Room.CPU) / math.Exp(r.speedLog(t.kind())))
+		total += int(float64(t.Room.CPU) / r.speed(t.kind()))
 		if !r.usable(t) {
 			continue
 		}
--- /dev/null
+++ b/internal/router/bench_test.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkTask measures all steps of a holder for one task: its job's arrival,
+// the start, the answer and the end, with half of the targets in use.
+func BenchmarkTask(b *testing.B) {
+	for _, targets := range []int{48, 350, 2000} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) { benchTask(b, targets) })
+	}
+}
+
+func benchTask(b *testing.B, targets int) {
+	r := &Router{Self: Member{Name: "a", Zone: "north", Address: "10.0.0.1:1", Life: 1}, Bounds: Standard()}
+	now := time.Unix(origin, 0)
+	step := func(e Event) []Effect { return r.Step(now, e) }
+	step(Tick{})
+	step(Enrol{Slot: 1, Life: 1})
+	var list []Target
+	for i := range targets {
+		list = append(list, Target{ID: fmt.Sprintf("t%04d", i), Address: "10.1.0.1:1", Service: "work", Zone: "north", Room: Room{CPU: 2000, Memory: 10}, Labels: []string{"a"}})
+	}
+	step(Locate{Asked: now, Directory: Directory{Version: 1, Targets: list}})
+	now = now.Add(r.Bounds.Settle + r.Bounds.Tick)
+	stake := only[Stake](step(Tick{}))[0]
+	for _, e := range only[Renew](step(Claimed{Token: stake.Token, Result: Won, Rows: stake.Rows})) {
+		step(Renewed{Target: e.Target.ID, Token: e.Token, Sent: now, Result: Running, Clock: Reading{Millis: 1, At: now}})
+	}
+	number := 0
+	run := func() {
+		number++
+		now = now.Add(time.Microsecond)
+		j := pair(fmt.Sprintf("%016x", number))
+		j.Count = 1
+		starts := only[Start](step(Submit{Request: uint64(number), Job: j, Budget: time.Hour}))
+		if len(starts) != 1 {
+			b.Fatal("the task was not started")
+		}
+		s := starts[0]
+		step(Began{Target: s.Target.ID, Task: s.Task, Run: s.Run, Result: Running, Clock: Reading{Millis: int64(number), At: now}})
+		t := r.targets[s.Target.ID]
+		step(Renewed{
+			Target: t.ID, Token: t.token, Sent: now, Result: Running, Clock: Reading{Millis: int64(number), At: now},
+			Ended: []End{{Number: t.acked + 1, Task: s.Task, Run: s.Run, How: Done}},
+		})
+		for _, x := range r.targets {
+			x.fresh = now
+		}
+	}
+	b.ResetTimer()
+	for range b.N {
+		run()
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "µs/task")
+}
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -31,6 +31,9 @@
 	Kind  string  `cbor:"1,keyasint"`
 	Count int     `cbor:"2,keyasint"`
 	Log   float64 `cbor:"3,keyasint"`
+
+	factor float64 // exp(Log) when it was last asked for
+	asked  float64 // Log at that time
 }
 
 const (
@@ -134,9 +137,21 @@
 	return 0
 }
 
+// speed returns a kind's factor on the run time.
+func (r *Router) speed(kind string) float64 {
+	s := r.speeds[kind]
+	if s == nil || s.Count < speedTrust {
+		return 1
+	}
+	if s.factor == 0 || s.asked != s.Log {
+		s.factor, s.asked = math.Exp(s.Log), s.Log
+	}
+	return s.factor
+}
+
 // expectAt returns the expected run time of one task of a job at a target.
 func (r *Router) expectAt(j *job, t *target) time.Duration {
-	return seconds(j.task.Seconds() * math.Exp(r.speedLog(t.kind())))
+	return time.Duration(float64(j.task) * r.speed(t.kind()))
 }
 
 // kind returns the target's kind, which is its first label.
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -115,14 +115,14 @@
 func (r *Router) choose(j *job, k *task) *target {
 	var best *target
 	bestLeft := 0
-	for _, t := range r.targets {
-		if t.Service != j.spec.Service || !t.has(j.spec.Label) || k.shuns(t.ID) {
+	for _, t := range r.pool {
+		if t.Service != j.spec.Service || !t.Room.Less(t.used).Fits(j.spec.Need) || !t.has(j.spec.Label) {
 			continue
 		}
-		left := t.Room.Less(t.used)
-		if !left.Fits(j.spec.Need) || !r.usable(t) || r.crowds(j, t) {
+		if k.shuns(t.ID) || !r.usable(t) || r.crowds(j, t) {
 			continue
 		}
+		left := t.Room.Less(t.used)
 		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t)
 		if best == nil || score < bestLeft || score == bestLeft && t.ID < best.ID {
 			best, bestLeft = t, score
@@ -169,7 +169,7 @@
 // load returns the part of the processors of usable targets that is in use.
 func (r *Router) load() float64 {
 	used, total := 0, 0
-	for _, t := range r.targets {
+	for _, t := range r.pool {
 		if r.usable(t) {
 			used += t.used.CPU
 			total += t.Room.CPU
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,7 +45,8 @@
 	jobs    map[string]*job
 	queue   holder.Heap[*job]
 	targets map[string]*target
-	ended   []*job // oldest first
+	pool    []*target // the targets, by ID
+	ended   []*job    // oldest first
 	marks   map[string][]Mark
 	learned map[string]*history // by route
 	speeds  map[string]*Speed   // by kind of target
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -126,6 +127,8 @@
 	if t == nil {
 		t = &target{Target: entry, runs: make(map[string]*run), orphan: make(map[string]int), finished: make(map[string]End)}
 		r.targets[entry.ID] = t
+		r.pool = append(r.pool, t)
+		slices.SortFunc(r.pool, func(a, b *target) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	if entry.Draining != t.Draining {
 		r.logTarget(t, "draining")
@@ -166,7 +169,13 @@
 		r.strand(n.job, n.task, gone)
 		delete(t.runs, name)
 	}
+	r.drop(t)
+}
+
+// drop forgets a target.
+func (r *Router) drop(t *target) {
 	delete(r.targets, t.ID)
+	r.pool = slices.DeleteFunc(r.pool, func(other *target) bool { return other == t })
 }
 
 // refresh asks for the directory when it is due: the holder reads it, and the
@@ -412,7 +421,7 @@
 		}
 		if !t.listed && len(t.runs) == 0 && r.now.Sub(t.unlisted) > r.Bounds.Lease && r.former[id] == nil {
 			r.logTarget(t, "forgotten")
-			delete(r.targets, id)
+			r.drop(t)
 			r.emit(Retire{ID: id, Gone: true})
 			continue
 		}
