--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -112,7 +112,7 @@
 	free, total := r.capacity(&j.spec)
 	ahead := 0
 	for _, other := range r.queue.Items() {
-		if other.spec.Service == j.spec.Service && first(other, j) && !r.barredHere(other) {
+		if other.spec.Service == j.spec.Service && first(other, j) && !r.quarantined(other) {
 			ahead += other.waiting
 			work += float64(other.waiting*other.spec.Need.CPU) * other.expect.Seconds()
 		}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -59,7 +59,7 @@
 
 // placeJob starts the waiting tasks of a job and reports whether all found room.
 func (r *Router) placeJob(j *job) bool {
-	if r.barredHere(j) {
+	if r.quarantined(j) {
 		return true
 	}
 	for i := range j.tasks {
@@ -79,10 +79,10 @@
 	return true
 }
 
-// barredHere reports whether a queued job may not be started now: its zone has
+// quarantined reports whether a queued job may not be started now: its zone has
 // another holder by now, or runs of an earlier one may still be under way. It
 // takes no room from the jobs behind it.
-func (r *Router) barredHere(j *job) bool {
+func (r *Router) quarantined(j *job) bool {
 	c := r.cells[r.zoneOf(j.origin)]
 	return c == nil || !c.mine || j.resent && !r.clear(j)
 }
