router: configurations and directories are passed on only to peers that need them

With 40 hosts each pushed a new configuration to all others at once: 1,400 routes are about 250 KB, 10 MB a host on links of 25 Mbit/s.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -60,7 +60,7 @@
 	if j.begun || j.resent {
 		return v, false
 	}
-	wait := seconds(r.backlog(j).Seconds() * r.share(j))
+	wait := seconds(r.backlog(j).Seconds() * r.weight(j))
 	if r.now.Add(wait).After(j.latest) {
 		v.Reason, v.After = Overload, min(max(r.now.Add(wait).Sub(j.latest), minRetry), maxRetry)
 		return v, true
@@ -68,9 +68,9 @@
 	return v, false
 }
 
-// share returns how a job's wait is weighed: one with much work for its route is
+// weight returns how a job's wait is weighed: one with much work for its route is
 // refused earlier, since the same work completes several smaller ones.
-func (r *Router) share(j *job) float64 {
+func (r *Router) weight(j *job) float64 {
 	work := float64(j.spec.Count) * j.task.Seconds() * float64(j.spec.Need.CPU)
 	mean := r.works[j.spec.Route]
 	if mean == 0 {
--- a/internal/router/holder_test.go
+++ b/internal/router/holder_test.go
@@ -212,8 +212,8 @@
 	usual, large := pair("usual"), pair("large")
 	large.Count = 12
 	u, l := b.router.accept("x", &Offer{Job: usual, Left: time.Minute}), b.router.accept("x", &Offer{Job: large, Left: time.Minute})
-	assert.Less(t, b.router.share(u), b.router.share(l))
-	assert.LessOrEqual(t, b.router.share(l), mostShare)
+	assert.Less(t, b.router.weight(u), b.router.weight(l))
+	assert.LessOrEqual(t, b.router.weight(l), mostShare)
 }
 
 // TestStrongHostsFirst: of two candidates the one with more processor comes first,
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -144,3 +144,28 @@
 	assert.Equal(t, Refused, got[0].Outcome)
 	assert.Positive(t, got[0].After)
 }
+
+// TestSharing: a large deployment is not flooded with each new configuration. A
+// host passes it on only to peers that do not read it by themselves, once, and a
+// host that holds nothing never passes the directory on.
+func TestSharing(t *testing.T) {
+	b := newBed(t)
+	b.router.adopt(&Config{Version: 7}, "store")
+	b.router.take(Directory{Version: 9, Targets: entries(2)}, b.now, "peer")
+	sent := func(effects []Effect) (configs, directories int) {
+		for _, e := range effects {
+			if s, ok := e.(Send); ok && s.Message.Config != nil {
+				configs++
+			}
+			if s, ok := e.(Send); ok && s.Message.Directory != nil {
+				directories++
+			}
+		}
+		return configs, directories
+	}
+	configs, directories := sent(b.pass(shareDelay-2*b.router.Bounds.Tick, 1))
+	assert.Zero(t, configs, "the peer has had no time to read it")
+	more, further := sent(b.pass(shareStagger+4*b.router.Bounds.Tick, 1))
+	assert.Equal(t, 1, more)
+	assert.Zero(t, directories+further)
+}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -21,7 +22,12 @@
 	met       bool // has been in touch in this life
 	trusted   bool // jobs of its clients may run
 	redialled time.Time
-	informed  uint64 // token of the claim under which it was told of former targets
+	// toldConfig and toldDirectory are the versions that were last sent to the
+	// peer, and told is when.
+	toldConfig    uint64
+	toldDirectory uint64
+	told          time.Time
+	informed      uint64 // token of the claim under which it was told of former targets
 }
 
 // reaches reports whether messages pass both ways: a time of this host's clock
@@ -134,17 +140,52 @@
 		p.met = true
 		r.emit(Decide{Action: "peer", Pairs: []any{"peer", p.member.Name, "zone", p.member.Zone, "state", "reached"}})
 	}
-	if r.config != nil && p.config < r.config.Version {
-		p.config = r.config.Version
+	r.share(p)
+}
+
+// share passes on what the peer lacks. A configuration goes out only once the peer
+// has had time to read it from the store, by one host after the other, and the
+// directory by holders only: both may be large, and there are many hosts.
+func (r *Router) share(p *peer) {
+	again := r.now.Sub(p.told) >= shareAgain
+	if r.config != nil && p.config < r.config.Version && (again || p.toldConfig < r.config.Version) && r.now.Sub(r.configured) >= r.shareAfter() {
+		p.toldConfig, p.told = r.config.Version, r.now
 		r.send(p, Message{Config: r.config})
 	}
-	if len(r.directory.Targets) > 0 && p.directory < r.directory.Version {
-		p.directory = r.directory.Version
+	if r.holds() && p.directory < r.directory.Version && (again || p.toldDirectory < r.directory.Version) {
+		p.toldDirectory, p.told = r.directory.Version, r.now
 		d := r.directory
 		r.send(p, Message{Directory: &d})
 	}
 }
 
+const (
+	// shareDelay is how long a peer has to read a configuration from the store:
+	// ten answers, and a pause of a host with a small processor share. With the
+	// stagger it stays below the time in which it must be in force (2 s).
+	shareDelay = 300 * time.Millisecond
+	// shareStagger is what each further host waits for the one before it: a
+	// heartbeat, which shows that the peer has the version.
+	shareStagger = 100 * time.Millisecond
+	// shareMost bounds the wait.
+	shareMost = time.Second
+	// shareAgain is when something is sent once more to a peer that still lacks
+	// it.
+	shareAgain = 500 * time.Millisecond
+)
+
+// shareAfter returns how long after it has taken a configuration this host passes
+// it on: the first candidate first.
+func (r *Router) shareAfter() time.Duration {
+	before := 0
+	for _, p := range r.peers {
+		if r.reaches(p) && cmp.Or(cmp.Compare(r.Self.Power, p.member.Power), cmp.Compare(p.member.Slot, r.Self.Slot)) < 0 {
+			before++
+		}
+	}
+	return min(shareDelay+time.Duration(before)*shareStagger, shareMost)
+}
+
 // watchPeers notes which peers have fallen silent, and forgets those that
 // have been for long.
 func (r *Router) watchPeers() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,13 +24,14 @@
 	started time.Time
 	effects []Effect
 
-	config    *Config
-	directory Directory
-	former    map[string]*sighting // targets of other hosts' lists, by ID
-	located   time.Time            // when the directory was last read by this host
-	asked     time.Time            // when it was last asked for
-	outage    time.Time            // when reads of the directory began to fail
-	returned  time.Time            // when the store was back after its last long outage
+	config     *Config
+	configured time.Time // when it was taken
+	directory  Directory
+	former     map[string]*sighting // targets of other hosts' lists, by ID
+	located    time.Time            // when the directory was last read by this host
+	asked      time.Time            // when it was last asked for
+	outage     time.Time            // when reads of the directory began to fail
+	returned   time.Time            // when the store was back after its last long outage
 
 	life       int // tells this process's tokens from those of its earlier lives
 	generation uint64
@@ -210,19 +211,13 @@
 	return v
 }
 
-// adopt takes a configuration with a higher version and passes it on.
+// adopt takes a configuration with a higher version.
 func (r *Router) adopt(c *Config, source string) {
 	if c == nil || r.config != nil && c.Version <= r.config.Version {
 		return
 	}
-	r.config = c
+	r.config, r.configured = c, r.now
 	r.emit(Decide{Action: "configure", Pairs: []any{"version", c.Version, "routes", len(c.Routes), "source", source}})
-	for _, p := range r.sortedPeers() {
-		if r.reaches(p) && p.config < c.Version {
-			p.config = c.Version
-			r.send(p, Message{Config: c})
-		}
-	}
 }
 
 // taskName returns the name of a job's task; there is one step, without repeats.
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -271,9 +271,8 @@
 	}
 	r.syncTargets()
 	for _, p := range r.sortedPeers() {
-		if source == "store" && r.reaches(p) {
-			p.directory = d.Version
-			r.send(p, Message{Directory: &d})
+		if r.reaches(p) {
+			r.share(p)
 		}
 	}
 }
