router: dropped jobs are remembered for a while

One that came back was refused as not run, or was started beside its own run that was still being stopped.

--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -76,6 +76,20 @@
 	}
 }
 
+// TestRegressions plays the random worlds that once failed.
+func TestRegressions(t *testing.T) {
+	for seed, cause := range map[uint64]string{
+		267:    "a host that regained a cell went on with its former jobs",
+		330:    "a new holder extended the leases of runs that nobody claimed",
+		100820: "a dropped job that came back was refused as not run",
+		201094: "a dropped job that came back was started beside its run that was being stopped",
+	} {
+		w := randomWorld(seed)
+		w.Run()
+		assert.Empty(t, w.Broken, "seed %d: %s", seed, cause)
+	}
+}
+
 // TestReplay makes sure that a seed plays the same world again.
 func TestReplay(t *testing.T) {
 	var trace [2][]string
--- a/internal/router/holder_test.go
+++ b/internal/router/holder_test.go
@@ -260,3 +260,18 @@
 	require.Len(t, sends, 1)
 	assert.Equal(t, Unknown, sends[0].Message.Verdict.Outcome)
 }
+
+// TestDroppedJobIsRemembered: a holder that loses the cell of a job's host, but not
+// that of its target, and gets the job back does not start a task beside its own
+// run that is still being stopped, and does not call the job not run.
+func TestDroppedJobIsRemembered(t *testing.T) {
+	b := newHolderBed(t, 2, Won)
+	first, _ := b.begin("j", Running)
+	b.router.dropZone("north") // as for a cell whose targets are not these
+	j := pair("j")
+	j.Count = 1
+	effects := b.step(Submit{Request: 9, Job: j, Budget: 5 * time.Second})
+	b.router.offered(nil, &Offer{Job: j, Left: 5 * time.Second})
+	assert.Empty(t, only[Start](append(effects, b.pass(b.router.Bounds.Tick)...)), "run %d is being stopped", first.Run)
+	assert.True(t, b.router.jobs["j"].tried)
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -198,10 +198,12 @@
 
 // recall matches a job with what targets have listed of it under another holder.
 func (r *Router) recall(j *job) {
-	for i := range j.tasks {
-		name := taskName(j.spec.ID, i)
-		for _, id := range sortedKeys(r.targets) {
-			t := r.targets[id]
+	for _, t := range r.pool {
+		if len(t.finished) == 0 && len(t.orphan) == 0 {
+			continue
+		}
+		for i := range j.tasks {
+			name := taskName(j.spec.ID, i)
 			if _, ok := t.finished[name]; ok {
 				delete(t.finished, name)
 				r.taskDone(j, i)
@@ -351,7 +353,7 @@
 		j.over, j.since, j.verdict = true, r.now, Verdict{ID: id, Outcome: Elsewhere}
 		r.queue.Remove(j)
 		r.stopRuns(j)
-		delete(r.jobs, id)
+		r.ended = append(r.ended, j) // it is known for a while, should it come back
 	}
 }
 
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -227,7 +227,7 @@
 		}
 	}
 	for _, j := range r.ended {
-		if j.origin == address && r.jobs[j.spec.ID] == j {
+		if j.origin == address && r.jobs[j.spec.ID] == j && j.verdict.Outcome != Elsewhere {
 			r.tell(address, j.verdict)
 		}
 	}
