--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -124,11 +124,11 @@
 	case router.Hangup:
 		delete(h.linked, e.Address)
 	case router.Start:
-		w.order1(h, e.Target, e.Timeout, func(t *target) answerer { return t.start(h, e) }, func(result router.StartResult, clock router.Reading) router.Event {
+		w.deliver(h, e.Target, e.Timeout, func(t *target) answerer { return t.start(h, e) }, func(result router.StartResult, clock router.Reading) router.Event {
 			return router.Began{Target: e.Target.ID, Task: e.Task, Run: e.Run, Result: result, Clock: clock}
 		})
 	case router.Stop:
-		w.order1(h, e.Target, e.Timeout, func(t *target) answerer { return t.stop(e) }, func(result router.StartResult, _ router.Reading) router.Event {
+		w.deliver(h, e.Target, e.Timeout, func(t *target) answerer { return t.stop(e) }, func(result router.StartResult, _ router.Reading) router.Event {
 			return router.Stopped{Target: e.Target.ID, Task: e.Task, Run: e.Run, Good: result == router.Running}
 		})
 	case router.Renew:
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -248,8 +248,8 @@
 	return answer
 }
 
-// order1 carries an order to a target and its answer back.
-func (w *World) order1(h *host, to router.Target, timeout time.Duration, order func(*target) answerer, reply func(router.StartResult, router.Reading) router.Event) {
+// deliver carries an order to a target and its answer back.
+func (w *World) deliver(h *host, to router.Target, timeout time.Duration, order func(*target) answerer, reply func(router.StartResult, router.Reading) router.Event) {
 	answered := false
 	answer := func(result router.StartResult, clock router.Reading) {
 		if !answered {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -76,8 +76,8 @@
 const (
 	// renewRetry is the pause after a renewal without an answer.
 	renewRetry = 50 * time.Millisecond
-	// renewSlack is how long an answer to a renewal may take beyond its wait:
-	// as long as an order.
+	// lapseSlack is added to a lease before its runs count as gone: the time of
+	// an order on its way.
 	lapseSlack = 50 * time.Millisecond
 	// stopRetry is the pause between two Stops of one run.
 	stopRetry = 150 * time.Millisecond
