--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -168,7 +168,11 @@
 	for _, s := range servers {
 		err = errors.Join(err, s.server.Shutdown(closing))
 	}
-	n.Log.Info("stopped", "complete", err == nil)
+	if err != nil {
+		n.Log.Error(err, "stopped before all answers had left", "bound", lastAnswers.String())
+		return nil // clients whose connection broke send their jobs again
+	}
+	n.Log.Info("stopped")
 	return nil
 }
 
--- a/internal/registrar/enroller.go
+++ b/internal/registrar/enroller.go
@@ -84,7 +84,8 @@
 		return 1, true
 	}
 	var found member
-	if cbor.Unmarshal(row.Value, &found) != nil {
+	if err := cbor.Unmarshal(row.Value, &found); err != nil {
+		e.registrar.Log.Error(err, "member not readable; its row is taken over", "key", row.Key, "version", row.Version)
 		return 1, true // nobody can use what is written there
 	}
 	self := e.registrar.Self
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -207,10 +207,16 @@
 		return err
 	}
 	for _, row := range rows {
-		var found member
-		if row.Key != key(m.Slot) || cbor.Unmarshal(row.Value, &found) != nil || found.Member.Life != m.Life {
+		if row.Key != key(m.Slot) {
 			continue
 		}
+		var found member
+		if err := cbor.Unmarshal(row.Value, &found); err != nil {
+			return err
+		}
+		if found.Member.Life != m.Life {
+			return nil // another process has the row by now
+		}
 		_, err = g.Table.Commit(ctx, nil, []Row{row})
 		return err
 	}
