cmd/shallotrouter: TestShutdown signals once all jobs are in

Traced by the daemon's log: nine jobs were admitted, the signal came at 51.0269, and the tenth arrived after it and was refused, truthfully. The test waited for two started tasks only. All ten must still be completed.

--- a/cmd/shallotrouter/failure_test.go
+++ b/cmd/shallotrouter/failure_test.go
@@ -226,8 +226,11 @@
 func TestShutdown(t *testing.T) {
 	d := deploy(t, "", 1, 2, "bogota-norte")
 	host := d.daemons[0]
-	list, wait := d.load(host, "comites", 10, 4, 200*time.Millisecond, 20*time.Second)
-	d.started(2)
+	const jobs = 10
+	list, wait := d.load(host, "comites", jobs, 4, 600*time.Millisecond, 20*time.Second)
+	// A job that arrives after the signal is rightly refused, so all of them have
+	// to be here before it.
+	d.await(func() bool { return d.status(host).Open == jobs })
 	host.signal(t, syscall.SIGTERM)
 	d.await(func() bool {
 		response, err := http.Get("http://" + host.address + "/readyz")
