router: a late copy of an offer does not start a job that was refused; tokens for 65,535 slots

Cause: on full links hosts replace connections and offer their jobs again. Submissions now carry a stamp, and refused ones are remembered like all verdicts. A token had ten bits for the slot: from 1,024 on two hosts could share one.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -23,9 +23,9 @@
 	Members = "member"
 	// Cells is the table of the claims.
 	Cells = "cell"
-	// slots is the number of members that can be registered; a token has ten
-	// bits for them, and 0 means none.
-	slots = 1<<10 - 1
+	// slots is the number of members that can be registered; a token has 16 bits for
+	// them, and 0 means none.
+	slots = 1<<16 - 1
 	// callTimeout bounds a call to the store: a hundred of its usual answers.
 	callTimeout = 500 * time.Millisecond
 	// watchWait is how long a watch waits for a change. A connection that went
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -25,7 +25,7 @@
 const (
 	// slotBits and lifeBits are the parts of a token below the generation: the
 	// member's slot, and its lives, so that no two processes share a token.
-	slotBits = 10
+	slotBits = 16
 	lifeBits = 10
 	// lossDelay is the time from the loss of a cell to the end of its jobs: two
 	// heartbeats.
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -179,3 +179,21 @@
 	}
 	assert.Zero(t, b.router.queue.Len())
 }
+
+// TestTokensAreUnique: no two hosts share a token, whatever their slots, lives and
+// generations; a token fits into the whole numbers that JSON carries exactly.
+func TestTokensAreUnique(t *testing.T) {
+	seen := make(map[uint64]string)
+	for _, slot := range []int{1, 2, 1023, 1024, 1025, 2048, 65535} {
+		for _, life := range []int{1, 2, 1023} {
+			for _, generation := range []uint64{1, 2, 3, 1 << 26} {
+				r := &Router{Self: Member{Slot: slot}, life: life}
+				token, name := r.token(generation), fmt.Sprint(slot, life, generation)
+				assert.Empty(t, seen[token], name)
+				assert.Equal(t, generation, generationOf(token))
+				assert.Less(t, token, uint64(1)<<53)
+				seen[token] = name
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/copy_test.go
@@ -0,0 +1,59 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// neighbour makes another host known to a bed's router and in touch with it.
+func (b *bed) neighbour(address string) {
+	b.step(Receive{From: address, Message: Message{Beat: &Beat{
+		Member: Member{Name: "n", Zone: "north", Address: address, Life: 5, Slot: 9}, Sent: 1, Echo: b.now.UnixNano(),
+	}}})
+}
+
+// TestLateCopyOfRefusedOffer: an offer that comes once more over a link that was replaced
+// meanwhile does not start a job whose client has been told that it will not run.
+func TestLateCopyOfRefusedOffer(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, Won)
+	b.neighbour(origin)
+	first := pair("first")
+	first.Expect = 4 * time.Second
+	require.Len(t, only[Start](b.step(Submit{Request: 1, Job: first, Budget: 9 * time.Second})), 2)
+
+	offer := &Offer{Job: pair("second"), Left: 5 * time.Second, Stamp: 7}
+	offer.Job.Expect, offer.Job.Stretch, offer.Job.Allowance = 100*time.Millisecond, 1.1, 0 // no time to wait
+	verdict := func(effects []Effect) *Verdict {
+		for _, e := range only[Send](effects) {
+			if e.Message.Verdict != nil {
+				return e.Message.Verdict
+			}
+		}
+		return nil
+	}
+	refused := verdict(b.step(Receive{From: origin, Message: Message{Offer: offer}}))
+	require.NotNil(t, refused)
+	require.Equal(t, Refused, refused.Outcome)
+
+	b.step(Abandon{Request: 1}) // there is room again
+	for _, task := range []string{"first.0.0.0", "first.0.0.1"} {
+		b.step(Stopped{Target: "p", Task: task, Run: 1, Good: true})
+	}
+	for _, renew := range only[Renew](b.pass(200 * time.Millisecond)) {
+		b.answer(renew)
+	}
+	b.neighbour(origin)
+	effects := b.step(Receive{From: origin, Message: Message{Offer: offer}})
+	assert.Empty(t, only[Start](effects))
+	again := verdict(effects)
+	require.NotNil(t, again)
+	assert.Equal(t, Refused, again.Outcome)
+
+	later := *offer // the client sends the job once more
+	later.Stamp = 8
+	assert.Len(t, only[Start](b.step(Receive{From: origin, Message: Message{Offer: &later}})), 2)
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -15,6 +15,7 @@
 
 	spec    Job
 	origin  string // address of the host whose client waits
+	stamp   int64  // of the submission
 	tasks   []task
 	waiting int // tasks to be started
 	done    int
@@ -118,7 +119,7 @@
 		return
 	}
 	earlier := r.jobs[o.Job.ID]
-	if earlier != nil && !earlier.runsAnew() {
+	if earlier != nil && (!earlier.runsAnew() || earlier.answered(origin.Address, o)) {
 		r.repeated(earlier, origin.Address, o)
 		return
 	}
@@ -127,7 +128,7 @@
 	if v, refused := r.admit(j); refused {
 		v.Outcome = j.truthful(v.Outcome)
 		r.emit(Decide{Action: "refuse", Job: j.spec.ID, Pairs: r.inputs(j, "reason", v.Reason, "after", v.After.String())})
-		r.tell(origin.Address, v)
+		r.turnAway(j, v)
 		return
 	}
 	r.emit(Decide{Action: "admit", Job: j.spec.ID, Pairs: r.inputs(j), Routine: true})
@@ -141,6 +142,21 @@
 	r.dirty = true
 }
 
+// turnAway refuses a job. It is remembered, since a copy of its offer may still be on
+// its way over a link that was replaced.
+func (r *Router) turnAway(j *job, v Verdict) {
+	j.over, j.verdict, j.since = true, v, r.now
+	r.jobs[j.spec.ID] = j
+	r.ended = append(r.ended, j)
+	r.tell(j.origin, v)
+}
+
+// answered reports whether an offer is a late copy of one that the job's host has had
+// the final verdict on.
+func (j *job) answered(origin string, o *Offer) bool {
+	return j.over && j.verdict.Outcome != Elsewhere && j.origin == origin && j.stamp == o.Stamp && o.Stamp != 0
+}
+
 // runsAnew reports whether a job has ended so that its client may have it run
 // once more.
 func (j *job) runsAnew() bool {
@@ -185,7 +201,7 @@
 // accept makes a job of an offer.
 func (r *Router) accept(origin string, o *Offer) *job {
 	j := &job{
-		spec: o.Job, origin: origin, tasks: make([]task, o.Job.Count), waiting: o.Job.Count,
+		spec: o.Job, origin: origin, stamp: o.Stamp, tasks: make([]task, o.Job.Count), waiting: o.Job.Count,
 		offered: r.now, arrived: r.now.Add(-o.Spent), deadline: r.now.Add(o.Left),
 		resent: o.Resent, zones: o.Zones,
 	}
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -131,6 +131,9 @@
 	// the job has exceeded.
 	Done []int `cbor:"6,keyasint,omitempty"`
 	Base int   `cbor:"7,keyasint,omitempty"`
+	// Stamp tells this submission of the job from others: the moment of its arrival
+	// on its host's clock, in nanoseconds.
+	Stamp int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Withdraw tells a holder that nobody waits for a job any more.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -102,7 +102,7 @@
 	q.sends++
 	return &Offer{
 		Job: q.job, Left: q.deadline.Sub(r.now), Spent: r.now.Sub(q.arrived),
-		Resent: len(q.prior) > 0, Zones: q.prior, Done: q.done, Base: q.base,
+		Resent: len(q.prior) > 0, Zones: q.prior, Done: q.done, Base: q.base, Stamp: q.arrived.UnixNano(),
 	}
 }
 
