--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -59,6 +59,10 @@
 	if seed%7 == 3 {
 		w.Mute = 0.05
 	}
+	if seed%3 == 1 {
+		w.Bounds.Mesh = 1 // only the holder and its successors hear of all others
+		w.Layout.Hosts += 2
+	}
 	for range 2 + random.IntN(4) {
 		f := troubles[random.IntN(len(troubles))]
 		f.At = time.Duration(random.Int64N(int64(7 * time.Second)))
@@ -79,7 +83,7 @@
 		group.Go(func() {
 			w := randomWorld(seed)
 			w.Run()
-			if !assert.Empty(t, w.Broken, "seed %d, %+v, lost %v, mute %v, split %d, hosts %d", seed, w.Faults, w.Lost, w.Mute, w.Bounds.Split, w.Layout.Hosts) {
+			if !assert.Empty(t, w.Broken, "seed %d, %+v, lost %v, mute %v, split %d, mesh %d, hosts %d", seed, w.Faults, w.Lost, w.Mute, w.Bounds.Split, w.Bounds.Mesh, w.Layout.Hosts) {
 				report(t, w)
 			}
 			<-free
