router: lists of a zone stay in it; the number of targets is told in heartbeats

Now heartbeats tell how many targets there are, and only hosts of the zone count as readers of its list. A job whose former holder also had other zones' targets waits for the quarantine, since those are not listed here any more (found by a random world, kept). Each test failed first.

--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -101,6 +101,7 @@
 		130580: "a run that a restarted target had taken was given up and started elsewhere",
 		102087: "a holder went by targets that had obeyed it before another had them in between",
 		131179: "a holder went by targets that had obeyed it before another had them in between",
+		500289: "a job was started anew that might run in a zone of another holder, whose targets were not listed",
 		201094: "a dropped job that came back was started beside its run that was being stopped",
 	} {
 		w := randomWorld(seed)
--- a/internal/modeler/size_test.go
+++ b/internal/modeler/size_test.go
@@ -89,3 +89,19 @@
 		assert.Empty(t, waiting, "seed %d: hosts that do not serve yet", w.Seed)
 	}
 }
+
+// TestCalmAtSize: where each zone has a holder of its own, all zones are served from the
+// start of the load on.
+func TestCalmAtSize(t *testing.T) {
+	for _, hosts := range []int{30, 75} {
+		w := sized(hosts)
+		w.Layout.Targets, w.Length = 16, 6*time.Second
+		w.Run()
+		assert.Empty(t, w.Broken)
+		asked, inTime := 0, 0
+		for _, n := range w.Tally.Kinds {
+			asked, inTime = asked+n.Asked, inTime+n.InTime
+		}
+		assert.GreaterOrEqual(t, float64(inTime)/float64(asked), 0.97, "%d hosts", hosts)
+	}
+}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -47,12 +47,21 @@
 
 // weigh decides whether each zone should have a holder of its own, because no one
 // host can carry all targets with its processor and half of its link.
-func (r *Router) weigh(targets int) {
-	link := r.Self.Link
+func (r *Router) weigh() {
+	r.link = max(r.link, r.Self.Link)
 	for _, p := range r.peers {
-		link = max(link, p.member.Link)
+		r.link = max(r.link, p.member.Link)
+	}
+	r.split = r.total > r.Bounds.Split || r.link > 0 && r.total > r.link/(2*targetTraffic)
+}
+
+// countTargets takes the number of targets in some version of the platform's list.
+// Hosts that are not told the list itself have to agree on whether zones are split.
+func (r *Router) countTargets(version uint64, total int) {
+	if version > r.counted {
+		r.counted, r.total = version, total
+		r.weigh()
 	}
-	r.split = targets > r.Bounds.Split || link > 0 && targets > link/(2*targetTraffic)
 }
 
 // contend claims the cells that lack a holder, or that should have another.
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -80,6 +80,8 @@
 	Config    uint64        `cbor:"7,keyasint"`
 	Directory uint64        `cbor:"8,keyasint"`
 	Age       time.Duration `cbor:"9,keyasint"`
+	// Total is how many targets the platform's list has in that version.
+	Total int `cbor:"14,keyasint,omitempty"`
 	// Lessons and Speeds are what a holder has learned; most heartbeats leave
 	// them out.
 	Lessons []Lesson `cbor:"10,keyasint,omitempty"`
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -106,7 +106,7 @@
 
 // attend decides which peers are near.
 func (r *Router) attend() {
-	r.weigh(r.directory.total())
+	r.weigh()
 	r.hub = r.hubs()
 	r.meshed = r.relatives() <= r.Bounds.Mesh
 	for _, p := range r.peers {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -148,6 +148,7 @@
 	}
 	p.leaving, p.held, p.config, p.directory, p.age = b.Leaving, b.Held, b.Config, b.Directory, b.Age
 	r.generation = max(r.generation, b.Generation)
+	r.countTargets(b.Directory, b.Total)
 	before := r.cell(r.Self.Zone).claim.Token
 	for _, c := range b.Claims {
 		r.learn(c)
@@ -183,7 +184,7 @@
 		p.toldConfig, p.told = r.config.Version, r.now
 		r.send(p, Message{Config: r.config})
 	}
-	if r.holds() && p.directory < r.directory.Version && r.now.Sub(p.toldTargets) >= r.directoryPause(p) {
+	if r.holds() && r.related(p.member.Zone) && p.directory < r.directory.Version && r.now.Sub(p.toldTargets) >= r.directoryPause(p) {
 		p.toldTargets = r.now
 		d := r.directory
 		r.send(p, Message{Directory: &d})
@@ -308,7 +309,7 @@
 	}
 	return Beat{
 		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leaving.IsZero(), Held: r.holderOf(r.Self.Zone) != nil, Generation: r.generation,
-		Config: version, Directory: r.directory.Version, Age: age,
+		Config: version, Directory: r.directory.Version, Total: r.directory.Total, Age: age,
 	}
 }
 
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -101,6 +101,11 @@
 	if r.now.After(j.cleared) {
 		return true
 	}
+	for _, zone := range j.zones {
+		if c := r.cells[zone]; c == nil || !c.mine {
+			return false // its targets obey another host and may not be listed here
+		}
+	}
 	obeys := func(entry Target) bool {
 		t := r.targets[entry.ID]
 		return t != nil && t.fenced && !t.fresh.Before(j.offered) || !slices.Contains(j.zones, entry.Zone)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,9 @@
 	life       int // tells this process's tokens from those of its earlier lives
 	generation uint64
 	peers      map[string]*peer // by address
+	link       int              // best known link of a host
+	total      int              // targets in the newest list that was heard of
+	counted    uint64           // version of that list
 	split      bool             // each zone has a holder of its own
 	hub        map[string]bool  // hosts that all others of the cells are near to, by address
 	meshed     bool             // all hosts of the cells are near to each other
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -217,7 +217,7 @@
 // readElsewhere reports whether a peer has read the directory lately.
 func (r *Router) readElsewhere() bool {
 	for _, p := range r.peers {
-		if r.reaches(p) && p.age+r.now.Sub(p.heard) < 3*r.Bounds.Directory {
+		if r.related(p.member.Zone) && r.reaches(p) && p.age+r.now.Sub(p.heard) < 3*r.Bounds.Directory {
 			return true
 		}
 	}
@@ -255,6 +255,9 @@
 // hearDirectory takes the list that another host has read. One that comes from the
 // other side of a cut may lack targets that are sound.
 func (r *Router) hearDirectory(p *peer, d Directory) {
+	if len(d.Targets) < d.Total && p.member.Zone != r.Self.Zone {
+		return // it lacks the targets of this zone
+	}
 	if r.wasAway() && r.now.Sub(p.since) <= r.Bounds.Absent && d.Version > r.directory.Version {
 		r.keepAbsent(&d)
 	}
@@ -309,7 +312,7 @@
 // zone has a holder of its own.
 func (r *Router) confine(d *Directory) {
 	d.Total = d.total()
-	r.weigh(d.Total)
+	r.countTargets(d.Version, d.Total)
 	if r.split {
 		d.Targets = slices.DeleteFunc(slices.Clone(d.Targets), func(t Target) bool {
 			return t.Zone != r.Self.Zone && !r.cell(t.Zone).mine
