router: malformed messages of other hosts are left out

Cause: an offer with a negative number of tasks ended the process (panic in make), a claim near the end of the numbers made every later token useless, and a speed that is not a number went into every prediction.

--- /dev/null
+++ b/internal/router/check.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"fmt"
+	"math"
+)
+
+const (
+	// MaxTasks bounds the tasks of a job: twenty times the 460 of the largest that the
+	// users plan.
+	MaxTasks = 10_000
+	// maxGeneration bounds the generations of claims, so that a token stays below 2^53
+	// and is exact in JSON.
+	maxGeneration = 1 << (53 - slotBits - lifeBits)
+)
+
+// MalformedError tells that a message of another host cannot be used. Look for hosts that
+// run another version of the program.
+type MalformedError struct{ Field, Value string }
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	return fmt.Sprintf("malformed message: %s is %s; check that all hosts run the same version", e.Field, e.Value)
+}
+
+// Check returns a *MalformedError for a message whose values would break what the router
+// relies on.
+func (m Message) Check() error {
+	switch {
+	case m.Offer != nil:
+		return m.Offer.check()
+	case m.Beat != nil:
+		return m.Beat.check()
+	}
+	return nil
+}
+
+func (o *Offer) check() error {
+	j := &o.Job
+	switch {
+	case j.ID == "":
+		return &MalformedError{"the job's id", "empty"}
+	case j.Count < 1 || j.Count > MaxTasks:
+		return &MalformedError{"the number of tasks", fmt.Sprint(j.Count)}
+	case j.Need.CPU < 0 || j.Need.Memory < 0 || j.Need.GPU < 0:
+		return &MalformedError{"a task's need", fmt.Sprint(j.Need)}
+	case !finite(j.Stretch):
+		return &MalformedError{"the stretch", fmt.Sprint(j.Stretch)}
+	case o.Base < 0:
+		return &MalformedError{"the base of run numbers", fmt.Sprint(o.Base)}
+	}
+	return nil
+}
+
+func (b *Beat) check() error {
+	if b.Generation >= maxGeneration {
+		return &MalformedError{"the generation", fmt.Sprint(b.Generation)}
+	}
+	for _, c := range b.Claims {
+		if generationOf(c.Token) >= maxGeneration {
+			return &MalformedError{"a claim's token", fmt.Sprint(c.Token)}
+		}
+	}
+	for _, l := range b.Lessons {
+		if l.Count < 0 || !finite(l.MeanX, l.MeanY, l.VarX, l.CovXY) {
+			return &MalformedError{"what was learned of a route", fmt.Sprint(l)}
+		}
+	}
+	for _, s := range b.Speeds {
+		if s.Count < 0 || !finite(s.Log) {
+			return &MalformedError{"the speed of a kind", fmt.Sprint(s)}
+		}
+	}
+	return nil
+}
+
+// finite reports whether all values are numbers.
+func finite(values ...float64) bool {
+	for _, v := range values {
+		if math.IsNaN(v) || math.IsInf(v, 0) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -88,6 +88,10 @@
 
 // receive takes a message of a peer.
 func (r *Router) receive(e Receive) {
+	if err := e.Message.Check(); err != nil {
+		r.emit(Decide{Action: "ignore", Pairs: []any{"from", e.From, "kind", e.Message.Kind(), "error", err.Error()}})
+		return
+	}
 	p := r.peers[e.From]
 	if b := e.Message.Beat; b != nil {
 		r.hear(p, b)
