router: former targets are told again over new links; verdicts name their submission

A new holder starts a job anew once all targets of the earlier one obey it. It learns of targets that its own list lacks from the job's host, once a claim; what was sent into a link that was being replaced was lost, and only the offers were repeated. A verdict that is repeated over a new link could end a later submission of the same job, also as refused. Tests failed first.

--- a/internal/router/copy_test.go
+++ b/internal/router/copy_test.go
@@ -57,3 +57,34 @@
 	later.Stamp = 8
 	assert.Len(t, only[Start](b.step(Receive{From: origin, Message: Message{Offer: &later}})), 2)
 }
+
+// TestFormerTargetsAreToldAgain: a new holder is told of an earlier one's targets over
+// each new link before the jobs, since what went into the link before may be lost. It
+// would start a job anew that runs at a target which it does not know.
+func TestFormerTargetsAreToldAgain(t *testing.T) {
+	b := newBed(t)
+	b.step(Locate{Asked: b.now, Directory: Directory{Version: 3, Targets: entries(2)}})
+	b.step(Submit{Request: 1, Job: pair("j"), Budget: 5 * time.Second})
+	b.peer = Member{Name: "c", Zone: "north", Address: "10.0.0.3:1", Life: 1, Slot: 3}
+	kinds := func(effects []Effect) []string {
+		var list []string
+		for _, e := range only[Send](effects) {
+			if kind := e.Message.Kind(); e.To == b.peer.Address && kind != "beat" {
+				list = append(list, kind)
+			}
+		}
+		return list
+	}
+	assert.Equal(t, []string{"former", "offer"}, kinds(b.hold(2)))
+	assert.Equal(t, []string{"former", "offer"}, kinds(b.step(Linked{Address: b.peer.Address})))
+}
+
+// TestVerdictOfEarlierSubmission: a verdict that was given on an earlier submission of a
+// job does not end the one that is open.
+func TestVerdictOfEarlierSubmission(t *testing.T) {
+	b := newBed(t)
+	b.step(Submit{Request: 1, Job: pair("j"), Budget: 5 * time.Second})
+	stamp := b.now.UnixNano()
+	assert.Empty(t, answers(b.verdict(Verdict{ID: "j", Outcome: Refused, Reason: Overload, Stamp: stamp - 1})))
+	assert.Len(t, answers(b.verdict(Verdict{ID: "j", Outcome: Refused, Reason: Overload, Stamp: stamp})), 1)
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -115,7 +115,7 @@
 	c := r.cells[origin.Zone]
 	stale := p != nil && !r.reaches(p) // it may have been on its way through a cut
 	if c == nil || !c.mine || stale {
-		r.tell(origin.Address, Verdict{ID: o.Job.ID, Outcome: Elsewhere})
+		r.tell(origin.Address, Verdict{ID: o.Job.ID, Outcome: Elsewhere, Stamp: o.Stamp})
 		return
 	}
 	earlier := r.jobs[o.Job.ID]
@@ -145,6 +145,7 @@
 // turnAway refuses a job. It is remembered, since a copy of its offer may still be on
 // its way over a link that was replaced.
 func (r *Router) turnAway(j *job, v Verdict) {
+	v.Stamp = j.stamp
 	j.over, j.verdict, j.since = true, v, r.now
 	r.jobs[j.spec.ID] = j
 	r.ended = append(r.ended, j)
@@ -190,10 +191,11 @@
 // repeated takes a job that is known here: its client has sent it again through
 // another host, or the host has offered it under another claim.
 func (r *Router) repeated(j *job, origin string, o *Offer) {
-	j.origin = origin
+	j.origin, j.stamp = origin, o.Stamp
 	j.deadline = later(j.deadline, r.now.Add(o.Left))
 	r.emit(Decide{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "over", j.over, "outcome", j.verdict.Outcome}})
 	if j.over {
+		j.verdict.Stamp = o.Stamp
 		r.tell(origin, j.verdict)
 	}
 }
@@ -322,7 +324,7 @@
 
 // end gives a job its verdict, once, and stops what still runs.
 func (r *Router) end(j *job, v Verdict) {
-	v.ID = j.spec.ID
+	v.ID, v.Stamp = j.spec.ID, j.stamp
 	v.Outcome = j.truthful(v.Outcome)
 	if v.Outcome == Refused && j.begun {
 		r.violate("a refusal is true", "%s was begun", j.spec.ID)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -187,6 +187,8 @@
 	Reason  Reason  `cbor:"3,keyasint,omitempty"`
 	// After is when a refused client may come back.
 	After time.Duration `cbor:"4,keyasint,omitempty"`
+	// Stamp is that of the submission; 0 means any.
+	Stamp int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Progress tells a job's host what is done, so that another holder can go on.
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -204,11 +204,12 @@
 	r.send(p, Message{Beat: &b})
 }
 
-// directoryPause returns how long a peer that lacks the directory in force waits for
-// the next one: those that might hold the cell next are told first.
-func (r *Router) directoryPause(p *peer) time.Duration {
+// directoryDue reports whether a peer that lacks the directory in force is sent it now:
+// those that might hold the cell next at once, and others in turn.
+func (r *Router) directoryDue(p *peer) bool {
+	since := r.now.Sub(p.toldTargets)
 	if p.directory == 0 || r.meshed || r.hub[p.member.Address] {
-		return shareAgain
+		return p.toldDirectory < r.directory.Version || since >= shareAgain
 	}
-	return directoryAgain
+	return since >= directoryAgain
 }
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -172,8 +172,8 @@
 // judged takes the verdict of a holder.
 func (r *Router) judged(holder string, v Verdict) {
 	q := r.requests[v.ID]
-	if q == nil {
-		return
+	if q == nil || v.Outcome != Complete && v.Stamp != 0 && v.Stamp != q.arrived.UnixNano() {
+		return // it was for an earlier submission
 	}
 	if q.holder != holder {
 		if v.Outcome == Complete {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -36,11 +36,14 @@
 	redialled time.Time
 	// toldConfig is the version of the configuration that was last sent to the peer,
 	// and told is when.
-	toldConfig  uint64
-	told        time.Time
-	toldTargets time.Time // when it was last sent the directory
-	claimed     time.Time // when it was last sent the claims
-	informed    uint64    // token of the claim under which it was told of former targets
+	toldConfig uint64
+	told       time.Time
+	// toldDirectory is the version of the directory that was last sent to the peer, and
+	// toldTargets is when.
+	toldDirectory uint64
+	toldTargets   time.Time
+	claimed       time.Time // when it was last sent the claims
+	informed      uint64    // token of the claim under which it was told of former targets
 }
 
 // reaches reports whether messages pass both ways: a time of this host's clock
@@ -74,6 +77,7 @@
 	if p == nil {
 		p = &peer{member: m, heard: r.now}
 		r.peers[m.Address] = p
+		r.attendTo(p)
 	}
 	return p
 }
@@ -188,8 +192,8 @@
 		p.toldConfig, p.told = r.config.Version, r.now
 		r.send(p, Message{Config: r.config})
 	}
-	if r.holds() && r.related(p.member.Zone) && p.directory < r.directory.Version && r.now.Sub(p.toldTargets) >= r.directoryPause(p) {
-		p.toldTargets = r.now
+	if r.holds() && r.related(p.member.Zone) && p.directory < r.directory.Version && r.directoryDue(p) {
+		p.toldTargets, p.toldDirectory = r.now, r.directory.Version
 		d := r.directory
 		r.send(p, Message{Directory: &d})
 	}
@@ -263,7 +267,7 @@
 	if p == nil {
 		return
 	}
-	p.dialled = true
+	p.dialled, p.informed = true, 0
 	r.beatTo(p)
 	for _, id := range sortedKeys(r.requests) {
 		if q := r.requests[id]; q.holder == address {
