--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -102,7 +102,7 @@
 	}
 	list := r.candidates(c.zone)
 	rank := slices.IndexFunc(list, func(m Member) bool { return m.Address == r.Self.Address })
-	if rank < 0 || !r.informedOf(c.zone) || !r.represents(c.zone) && !r.forsaken(c) {
+	if rank < 0 || !r.informed() || !r.represents(c.zone) && !r.forsaken(c) {
 		return false
 	}
 	if !c.absent.IsZero() {
@@ -111,9 +111,9 @@
 	return r.merges(c, list)
 }
 
-// informedOf reports whether this host has just heard from those of a cell that live,
-// so that it can tell which side of a cut it is on.
-func (r *Router) informedOf(zone string) bool {
+// informed reports whether this host has just heard from those of its cell that live, so
+// that it can tell which side of a cut it is on.
+func (r *Router) informed() bool {
 	if !r.meshed && !r.hub[r.Self.Address] {
 		return false
 	}
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -117,8 +117,7 @@
 // attendTo decides whether a peer is near: it has asked to be, or one of the two holds
 // the other's cell or would hold it next.
 func (r *Router) attendTo(p *peer) {
-	c := r.cells[p.member.Zone]
-	near := c != nil && c.mine || !p.asked.IsZero() && r.now.Sub(p.asked) < askFor || r.wantsNear(p)
+	near := !p.asked.IsZero() && r.now.Sub(p.asked) < askFor || r.wantsNear(p)
 	if near && !p.near {
 		p.nearSince = r.now
 		r.dial(p)
