--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -228,18 +228,10 @@
 		if !p.met {
 			continue
 		}
-		all++
-		if p.member.Zone == zone {
-			zoneAll++
-		}
-		if !r.reaches(p) {
-			silent++
-			continue
-		}
-		in++
-		if p.member.Zone == zone {
-			zoneIn++
-		}
+		reached, same := r.reaches(p), p.member.Zone == zone
+		all, in = all+1, in+one(reached)
+		silent += one(!reached)
+		zoneAll, zoneIn = zoneAll+one(same), zoneIn+one(same && reached)
 	}
 	if silent > 1 {
 		all += left // a cut, behind which they may be back by now
@@ -250,6 +242,14 @@
 	return zoneIn > 0 && 2*zoneIn == zoneAll && 2*in >= all
 }
 
+// one returns 1 for true.
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // claim begins to claim cells under a new token, through the store.
 func (r *Router) claim(zones []string) {
 	r.generation++
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -126,25 +126,13 @@
 // says something of the process that the sender is known by.
 func (r *Router) hear(p *peer, b *Beat) {
 	if b.Member.Address != "" {
-		p = r.meet(b.Member)
+		p = r.identify(b.Member)
 	} else if p != nil && b.Member.Life != p.member.Life {
 		return
 	}
 	if p == nil {
 		return
 	}
-	if b.Member.Life < p.member.Life {
-		return // a message of an earlier process
-	}
-	if b.Member.Life > p.member.Life && p.met {
-		r.emit(Decide{Action: "peer", Pairs: []any{"peer", b.Member.Name, "state", "restarted"}})
-		r.dropOrigin(p.member.Address)
-		*p = peer{heard: r.now, dialled: p.dialled}
-	}
-	if b.Member.Address != "" {
-		p.member = b.Member
-		r.cell(b.Member.Zone)
-	}
 	p.heard, p.dead, p.severed = r.now, time.Time{}, false
 	if b.Near {
 		p.asked = r.now
@@ -172,6 +160,22 @@
 	}
 }
 
+// identify returns the peer that a heartbeat names, or nil for one of an earlier process.
+func (r *Router) identify(m Member) *peer {
+	p := r.meet(m)
+	if p == nil || m.Life < p.member.Life {
+		return nil
+	}
+	if m.Life > p.member.Life && p.met {
+		r.emit(Decide{Action: "peer", Pairs: []any{"peer", m.Name, "state", "restarted"}})
+		r.dropOrigin(p.member.Address)
+		*p = peer{heard: r.now, dialled: p.dialled}
+	}
+	p.member = m
+	r.cell(m.Zone)
+	return p
+}
+
 // inTouch notes that messages pass both ways and passes on what the peer lacks.
 func (r *Router) inTouch(p *peer) {
 	p.trusted = true
