router, registrar: retries after a loss come last; what was learned outlives all hosts

Change: a holder learns the time budgets of each route's clients. A job whose budget lacks more than they differ by is placed as a late one. All hosts have forgotten that together, so holders write what they have learned to the store every 10 s.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -46,6 +46,7 @@
 	Stake(router.Stake)
 	// Read is answered by router.Locate or router.Unread.
 	Read()
+	Keep(router.Keep)
 	Expel(router.Member)
 }
 
@@ -160,6 +161,8 @@
 		d.Store.Stake(e)
 	case router.Read:
 		d.Store.Read()
+	case router.Keep:
+		d.Store.Keep(e)
 	case router.Expel:
 		d.Store.Expel(e.Member)
 	case router.Decide:
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -137,6 +137,8 @@
 		w.renew(h, e)
 	case router.Stake:
 		w.store.stake(h, e)
+	case router.Keep:
+		w.store.keep(h, e)
 	case router.Read:
 		w.store.read(h)
 	case router.Decide:
--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -18,6 +18,7 @@
 	claims  map[string]router.Stored
 	members map[string]memberRow
 	entries map[string]router.Target
+	kept    map[string]router.Keep // by zone
 	current *router.Config
 }
 
@@ -33,6 +34,7 @@
 	return &store{
 		world: w, delay: storeTrip, claims: make(map[string]router.Stored),
 		members: make(map[string]memberRow), entries: make(map[string]router.Target),
+		kept: make(map[string]router.Keep),
 	}
 }
 
@@ -64,6 +66,7 @@
 			enrolled.Claims = append(enrolled.Claims, s.claims[zone])
 		}
 		h.later(0, func() { h.step(enrolled) })
+		s.recall(h)
 	})
 	if !ok {
 		h.later(300*time.Millisecond, func() { s.enrol(h) })
@@ -93,6 +96,20 @@
 	})
 }
 
+func (s *store) keep(h *host, e router.Keep) {
+	s.reach(h, func() { s.kept[h.zone] = e })
+}
+
+func (s *store) recall(h *host) {
+	s.reach(h, func() {
+		var e router.Recall
+		for _, zone := range sortedNames(s.kept) {
+			e.Kept = append(e.Kept, s.kept[zone])
+		}
+		h.later(0, func() { h.step(e) })
+	})
+}
+
 func (s *store) read(h *host) {
 	asked := s.world.now
 	ok := s.reach(h, func() {
--- a/internal/registrar/enroller.go
+++ b/internal/registrar/enroller.go
@@ -18,6 +18,7 @@
 		enrolled, err := e.enrol(ctx)
 		if err == nil {
 			e.registrar.Sink.Put(enrolled)
+			(&call{work: e.registrar.recall}).run(ctx)
 			return
 		}
 		e.registrar.Log.Info("not registered yet", "error", err.Error(), "tries", failures+1)
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -23,6 +23,8 @@
 	Members = "member"
 	// Cells is the table of the claims.
 	Cells = "cell"
+	// Lessons is the table of what holders have learned, by zone.
+	Lessons = "lesson"
 	// slots is the number of members that can be registered; a token has 16 bits for
 	// them, and 0 means none.
 	slots = 1<<16 - 1
@@ -226,6 +228,55 @@
 	return nil
 }
 
+// Keep writes what this host has learned, over what an earlier holder of its zone has.
+func (g *Registrar) Keep(k router.Keep) {
+	c := &call{work: func(ctx context.Context) {
+		if err := g.keep(ctx, k); err != nil {
+			g.Log.Info("lessons not written", "error", err.Error())
+		}
+	}}
+	go c.run(g.context)
+}
+
+func (g *Registrar) keep(ctx context.Context, k router.Keep) error {
+	value, err := cbor.Marshal(k)
+	if err != nil {
+		return err
+	}
+	rows, _, err := g.Table.List(ctx, Lessons)
+	if err != nil {
+		return err
+	}
+	put := Row{Table: Lessons, Key: g.Self.Zone, Value: value}
+	for _, row := range rows {
+		if row.Key == put.Key {
+			put.Version = row.Version
+		}
+	}
+	_, err = g.Table.Commit(ctx, []Row{put}, nil)
+	return err
+}
+
+// recall reads what holders have learned. Jobs are served without it, so it is asked for
+// once only.
+func (g *Registrar) recall(ctx context.Context) {
+	rows, _, err := g.Table.List(ctx, Lessons)
+	if err != nil {
+		g.Log.Info("lessons not read", "error", err.Error())
+		return
+	}
+	var e router.Recall
+	for _, row := range rows {
+		var k router.Keep
+		if err := cbor.Unmarshal(row.Value, &k); err != nil {
+			g.Log.Error(err, "lessons not readable", "zone", row.Key, "version", row.Version)
+			continue
+		}
+		e.Kept = append(e.Kept, k)
+	}
+	g.Sink.Put(e)
+}
+
 // key returns the key of a slot's row.
 func key(slot int) string { return fmt.Sprintf("%04d", slot) }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -173,3 +173,27 @@
 	assert.Equal(t, []string{"d"}, ids())
 	assert.Equal(t, 2, m.reads)
 }
+
+// TestKeep: what a holder has learned is read by hosts that start later, and written over
+// by the next holder of the zone. A row that cannot be read hides no other.
+func TestKeep(t *testing.T) {
+	m := &table{rows: make(map[string]Row)}
+	g := &Registrar{Self: router.Member{Zone: "north"}, Table: m, Log: logr.Discard(), Sink: make(sink, 1)}
+	recalled := func() []router.Keep {
+		g.recall(t.Context())
+		return (<-g.Sink.(sink)).(router.Recall).Kept
+	}
+	assert.Empty(t, recalled())
+	for _, count := range []int{5, 7} {
+		want := router.Keep{Lessons: []router.Lesson{{Route: "r", Count: count, Budgets: 3, MeanBudget: 1.5}}}
+		require.NoError(t, g.keep(t.Context(), want))
+		assert.Equal(t, []router.Keep{want}, recalled())
+	}
+	m.rows[Lessons+"south"] = Row{Table: Lessons, Key: "south", Value: []byte{0xff}, Version: 99}
+	assert.Len(t, recalled(), 1)
+}
+
+// sink passes events on.
+type sink chan router.Event
+
+func (s sink) Put(e router.Event) { s <- e }
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -64,7 +64,7 @@
 	j.excess = r.exceeds(j, total)
 	wait := seconds(r.backlog(j, free, total).Seconds() * r.weight(j))
 	until := j.latest
-	if r.now.After(until) {
+	if r.isLate(j) {
 		until = j.last()
 	}
 	if r.now.Add(wait).After(until) {
@@ -172,7 +172,7 @@
 		}
 	case r.now.After(last):
 		r.giveUp(j, Expired)
-	case r.Policy.Admission == ByBacklog && !j.begun && !j.resent && r.now.After(j.latest) && r.pressed(j):
+	case r.Policy.Admission == ByBacklog && !j.begun && !j.resent && r.isLate(j) && r.pressed(j):
 		r.giveUp(j, Overload)
 	}
 }
@@ -181,7 +181,7 @@
 // of this one.
 func (r *Router) pressed(j *job) bool {
 	for _, other := range r.queue.Items() {
-		if other != j && other.spec.Service == j.spec.Service && other.latest.After(r.now) {
+		if other != j && other.spec.Service == j.spec.Service && !r.isLate(other) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/router/budget_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// budgetsOf returns what is learned from budgets about a mean.
+func budgetsOf(mean, deviation time.Duration) *budgets {
+	random := rand.New(rand.NewPCG(1, 1))
+	b := &budgets{}
+	for range budgetWindow {
+		b.take(mean + time.Duration(random.NormFloat64()*float64(deviation)))
+	}
+	return b
+}
+
+// TestShortBudgets: a budget that lacks more than clients differ by was used in part.
+func TestShortBudgets(t *testing.T) {
+	alike := budgetsOf(2*time.Second, 100*time.Millisecond)
+	assert.True(t, alike.isShort(700*time.Millisecond))
+	assert.False(t, alike.isShort(1900*time.Millisecond))
+	assert.False(t, alike.isShort(1600*time.Millisecond), "less than a client waits before it tries again")
+	assert.False(t, budgetsOf(2*time.Second, time.Second).isShort(700*time.Millisecond), "clients differ")
+	assert.False(t, (&budgets{}).isShort(time.Millisecond), "nothing is known")
+}
+
+// TestBudgetsChange: a surge of short budgets changes little, a lasting change is learned.
+func TestBudgetsChange(t *testing.T) {
+	b := budgetsOf(2*time.Second, 100*time.Millisecond)
+	for range 100 {
+		b.take(700 * time.Millisecond)
+	}
+	assert.True(t, b.isShort(700*time.Millisecond))
+	for range 20 * budgetWindow {
+		b.take(700 * time.Millisecond)
+	}
+	assert.False(t, b.isShort(700*time.Millisecond))
+}
+
+// TestRetryComesLast: a job whose client has waited before starts after one that came
+// later, and starts at once while there is room.
+func TestRetryComesLast(t *testing.T) {
+	b := newHolderBed(t, 1, Won)
+	b.router.historyOf("r").budgets = *budgetsOf(2*time.Second, 100*time.Millisecond)
+	started := func(id string) bool { return b.router.jobs[id].begun }
+	b.step(Submit{Request: 1, Job: pair("retry"), Budget: 700 * time.Millisecond})
+	assert.True(t, started("retry"))
+	b.step(Submit{Request: 2, Job: pair("again"), Budget: 700 * time.Millisecond})
+	b.step(Submit{Request: 3, Job: pair("new"), Budget: 2 * time.Second})
+	assert.True(t, b.router.precedes(b.router.jobs["new"], b.router.jobs["again"]))
+}
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -61,12 +61,17 @@
 			return &MalformedError{"a claim's token", fmt.Sprint(c.Token)}
 		}
 	}
-	for _, l := range b.Lessons {
-		if l.Count < 0 || !finite(l.MeanX, l.MeanY, l.VarX, l.CovXY) {
+	return checkLessons(b.Lessons, b.Speeds)
+}
+
+// checkLessons checks what another host has learned.
+func checkLessons(lessons []Lesson, speeds []Speed) error {
+	for _, l := range lessons {
+		if l.Count < 0 || l.Budgets < 0 || l.VarBudget < 0 || !finite(l.MeanX, l.MeanY, l.VarX, l.CovXY, l.MeanBudget, l.VarBudget) {
 			return &MalformedError{"what was learned of a route", fmt.Sprint(l)}
 		}
 	}
-	for _, s := range b.Speeds {
+	for _, s := range speeds {
 		if s.Count < 0 || !finite(s.Log) {
 			return &MalformedError{"the speed of a kind", fmt.Sprint(s)}
 		}
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -95,6 +95,12 @@
 // Read asks for the list of targets. It is answered by Locate or Unread.
 type Read struct{}
 
+// Keep writes what was learned to the store, for the time after a loss of all hosts.
+type Keep struct {
+	Lessons []Lesson `cbor:"1,keyasint"`
+	Speeds  []Speed  `cbor:"2,keyasint"`
+}
+
 // Expel removes a member that has gone from the store.
 type Expel struct{ Member Member }
 
@@ -133,6 +139,7 @@
 func (Retire) effect()    {}
 func (Stake) effect()     {}
 func (Read) effect()      {}
+func (Keep) effect()      {}
 func (Expel) effect()     {}
 func (Decide) effect()    {}
 func (Violate) effect()   {}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -55,6 +55,9 @@
 	Claims  []Stored
 }
 
+// Recall brings what holders of earlier times have written to the store.
+type Recall struct{ Kept []Keep }
+
 // Stored is a claim in the store with the version of its row.
 type Stored struct {
 	Claim   Claim
@@ -189,6 +192,7 @@
 func (Adopt) event()   {}
 func (Locate) event()  {}
 func (Unread) event()  {}
+func (Recall) event()  {}
 func (Enrol) event()   {}
 func (Claimed) event() {}
 func (Began) event()   {}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -44,6 +44,8 @@
 	resent  bool
 	cleared time.Time
 	zones   []string
+	// waited tells that the job's client had waited before.
+	waited bool
 	// excess tells that the job's route was beyond its fair share.
 	excess bool
 }
@@ -125,6 +127,7 @@
 	}
 	j := r.accept(origin.Address, o)
 	j.succeed(earlier)
+	j.waited = r.hasWaited(j)
 	if v, refused := r.admit(j); refused {
 		v.Outcome = j.truthful(v.Outcome)
 		r.emit(Decide{Action: "refuse", Job: j.spec.ID, Pairs: r.inputs(j, "reason", v.Reason, "after", v.After.String())})
@@ -249,7 +252,7 @@
 	return append([]any{
 		"route", j.spec.Route, "tasks", j.spec.Count, "cpu", j.spec.Need.CPU, "expect", j.expect.Round(time.Millisecond).String(), "declared", j.spec.Expect.String(),
 		"slack", j.latest.Sub(r.now).Round(time.Millisecond).String(), "left", j.deadline.Sub(r.now).Round(time.Millisecond).String(),
-		"queued", r.queue.Len(), "directory", r.directory.Version, "resent", j.resent, "excess", j.excess,
+		"queued", r.queue.Len(), "directory", r.directory.Version, "resent", j.resent, "excess", j.excess, "waited", j.waited,
 	}, more...)
 }
 
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -1,17 +1,19 @@
 package router
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
-// history is what was learned of a route's tasks: how the logarithm of their run
-// time depends on that of the declared one.
+// history is what was learned of a route: how the logarithm of its tasks' run time
+// depends on that of the declared one, and how long its clients wait for an answer.
 type history struct {
 	count        int
 	meanX, meanY float64 // declared and measured, logarithms of seconds
 	varX, covXY  float64
+	budgets      budgets
 }
 
 // Lesson is a history on its way to another host, so that a new holder does not
@@ -23,6 +25,11 @@
 	MeanY float64 `cbor:"4,keyasint"`
 	VarX  float64 `cbor:"5,keyasint"`
 	CovXY float64 `cbor:"6,keyasint"`
+	// Budgets counts the jobs whose clients' time budgets were taken, with their mean
+	// and variance in seconds.
+	Budgets    int     `cbor:"7,keyasint,omitempty"`
+	MeanBudget float64 `cbor:"8,keyasint,omitempty"`
+	VarBudget  float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Speed is how the tasks of one kind of target compare with others, as the
@@ -91,11 +98,7 @@
 		return
 	}
 	kind := n.target.kind()
-	h := r.learned[n.job.spec.Route]
-	if h == nil {
-		h = &history{}
-		r.learned[n.job.spec.Route] = h
-	}
+	h := r.historyOf(n.job.spec.Route)
 	y := math.Log(ran.Seconds()) - r.speedLog(kind)
 	if h.count >= historyTrust {
 		off := y - math.Log(r.predict(&n.job.spec).Seconds())
@@ -107,6 +110,16 @@
 	h.take(math.Log(declared(&n.job.spec).Seconds()), y)
 }
 
+// historyOf returns what was learned of a route.
+func (r *Router) historyOf(route string) *history {
+	h := r.learned[route]
+	if h == nil {
+		h = &history{}
+		r.learned[route] = h
+	}
+	return h
+}
+
 // take adds one task.
 func (h *history) take(x, y float64) {
 	h.count++
@@ -167,7 +180,10 @@
 	var lessons []Lesson
 	for _, route := range sortedKeys(r.learned) {
 		h := r.learned[route]
-		lessons = append(lessons, Lesson{Route: route, Count: h.count, MeanX: h.meanX, MeanY: h.meanY, VarX: h.varX, CovXY: h.covXY})
+		lessons = append(lessons, Lesson{
+			Route: route, Count: h.count, MeanX: h.meanX, MeanY: h.meanY, VarX: h.varX, CovXY: h.covXY,
+			Budgets: h.budgets.count, MeanBudget: h.budgets.mean, VarBudget: h.budgets.variance,
+		})
 	}
 	var speeds []Speed
 	for _, kind := range sortedKeys(r.speeds) {
@@ -176,6 +192,39 @@
 	return lessons, speeds
 }
 
+const (
+	// keepEvery is the period at which a holder writes what it has learned to the store:
+	// what is lost with all hosts is a small part of it.
+	keepEvery = 10 * time.Second
+	// mostKept bounds the routes that are written, the busiest first: 80 bytes each, in a
+	// row of 64 KB.
+	mostKept = 400
+)
+
+// keep writes what was learned to the store when it is due.
+func (r *Router) keep() {
+	c := r.cells[r.Self.Zone]
+	if c == nil || !c.mine || r.now.Sub(later(r.kept, c.acquired)) < keepEvery {
+		return
+	}
+	r.kept = r.now
+	lessons, speeds := r.lessons()
+	slices.SortStableFunc(lessons, func(a, b Lesson) int { return cmp.Compare(b.Count, a.Count) })
+	r.emit(Keep{Lessons: lessons[:min(len(lessons), mostKept)], Speeds: speeds})
+}
+
+// recallLessons takes what earlier holders have written to the store.
+func (r *Router) recallLessons(e Recall) {
+	for _, kept := range e.Kept {
+		if err := checkLessons(kept.Lessons, kept.Speeds); err != nil {
+			r.emit(Decide{Action: "ignore", Pairs: []any{"kind", "lessons", "error", err.Error()}})
+			continue
+		}
+		r.study(kept.Lessons, kept.Speeds)
+	}
+	r.emit(Decide{Action: "recall", Pairs: []any{"rows", len(e.Kept), "routes", len(r.learned)}})
+}
+
 // study takes what another host has learned from more tasks than this one. Runs
 // times and speeds only make sense together.
 func (r *Router) study(lessons []Lesson, speeds []Speed) {
@@ -186,13 +235,16 @@
 	for _, h := range r.learned {
 		own += h.count
 	}
-	if theirs <= own || r.holds() {
+	if theirs <= own {
 		return
 	}
 	clear(r.learned)
 	clear(r.speeds)
 	for _, l := range lessons {
-		r.learned[l.Route] = &history{count: l.Count, meanX: l.MeanX, meanY: l.MeanY, varX: l.VarX, covXY: l.CovXY}
+		r.learned[l.Route] = &history{
+			count: l.Count, meanX: l.MeanX, meanY: l.MeanY, varX: l.VarX, covXY: l.CovXY,
+			budgets: budgets{count: l.Budgets, mean: l.MeanBudget, variance: l.VarBudget},
+		}
 	}
 	for _, s := range slices.Clone(speeds) {
 		r.speeds[s.Kind] = &s
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -149,7 +149,7 @@
 	for _, c := range b.Claims {
 		r.learn(c)
 	}
-	if len(b.Lessons) > 0 {
+	if len(b.Lessons) > 0 && !r.holds() {
 		r.study(b.Lessons, b.Speeds)
 	}
 	if r.reaches(p) {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -20,7 +20,7 @@
 	if r.Policy.Order == ByArrival && !a.arrived.Equal(b.arrived) {
 		return a.arrived.Before(b.arrived)
 	}
-	if late := r.now.After(a.latest); late != r.now.After(b.latest) {
+	if late := r.isLate(a); late != r.isLate(b) {
 		return !late
 	}
 	if a.begun == b.begun && a.excess != b.excess {
@@ -29,6 +29,9 @@
 	return first(a, b)
 }
 
+// isLate reports whether a job can hardly be answered within its objective.
+func (r *Router) isLate(j *job) bool { return j.waited || r.now.After(j.latest) }
+
 // sooner orders the queue by when jobs must start. The order of two jobs never
 // changes.
 func sooner(a, b *job) bool {
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -6,6 +6,7 @@
 	Order     Order
 	Admission Admission
 	Sharing   Sharing
+	Retries   Retries
 }
 
 // Order is which of the waiting jobs comes first.
@@ -37,3 +38,13 @@
 	// Unshared lets routes take what they can get.
 	Unshared Sharing = "none"
 )
+
+// Retries is how a job is treated whose client has waited for an answer before.
+type Retries string
+
+const (
+	// AsLate places it after the jobs that can still be in time.
+	AsLate Retries = ""
+	// AsNew places it as if its client had just come.
+	AsNew Retries = "new"
+)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 	works   map[string]float64  // mean work of a job, by route
 	shares  map[string]*share   // by route
 	taught  time.Time           // when the others were last told
+	kept    time.Time           // when it was last written to the store
 	dirty   bool                // something may be placed
 	busy    float64             // load of the usable targets
 
@@ -127,6 +128,8 @@
 		r.unread()
 	case Enrol:
 		r.enrol(e)
+	case Recall:
+		r.recallLessons(e)
 	case Claimed:
 		r.claimed(e)
 	case Began:
@@ -172,6 +175,7 @@
 	r.watchJobs()
 	r.watchRequests()
 	r.report()
+	r.keep()
 	r.finish()
 }
 
