router: a host that knows the last holder to be dead claims at once

Cause: after the loss of all hosts nothing started for 0.08 to 0.14 s although the hosts knew from the former holder's new process that nobody held the cells: each listened for 0.1 s after its start. Claims that collide are decided by the store.

A host much weaker than others that may have started as well still waits, so that the cell need not move again. While others are reached and none of them reaches a holder, a holder that has not answered for 0.1 s instead of 0.2 s is passed over.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -84,15 +84,29 @@
 	}
 }
 
-// settleTime returns how long this host listens for holders after its start: not
-// long where the last one is known to be dead.
+// settleTime returns how long this host listens for holders after its start: not at
+// all where the last one is known to be dead. A weak host leaves stronger ones, which may
+// start as well, a moment to come first.
 func (r *Router) settleTime() time.Duration {
 	for _, c := range r.cells {
 		if c.claim.Token == 0 || r.awaited(c) {
 			return r.Bounds.Settle
 		}
 	}
-	return r.Bounds.Settle / 4
+	if r.outclassed() {
+		return r.Bounds.Settle / 4
+	}
+	return 0
+}
+
+// outclassed reports whether a known host that shares this one's cells is much stronger.
+func (r *Router) outclassed() bool {
+	for _, p := range r.peers {
+		if r.related(p.member.Zone) && weak(r.Self, p.member) {
+			return true
+		}
+	}
+	return false
 }
 
 // wants reports whether this host should claim a cell now.
@@ -136,7 +150,7 @@
 	h := c.claim.Holder
 	wait := r.Bounds.Silence
 	if c.learned.Sub(r.started) < r.Bounds.Settle && r.unheld() {
-		wait /= 2 // others would have heard of a living holder within four heartbeats
+		wait /= 4 // a living holder would have answered one of them by now
 	}
 	if r.now.Sub(c.learned) >= wait || r.isLeaving(h) || h.Address == r.Self.Address {
 		return false
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -197,3 +197,36 @@
 		}
 	}
 }
+
+// restarted returns a router that starts at the same time as the holder of all cells: the
+// store still names the holder's earlier process, and its heartbeat shows the next one. A
+// third host is known from the store only.
+func restarted(power int) *bed {
+	b := &bed{now: time.Unix(origin, 0)}
+	b.router = &Router{Self: Member{Name: "a", Zone: "north", Address: "10.0.0.1:1", Life: 2, Power: 100}, Bounds: Standard()}
+	b.step(Tick{})
+	b.now = b.now.Add(2 * b.router.Bounds.Tick)
+	holder := Member{Name: "b", Zone: "north", Address: "10.0.0.2:1", Life: 1, Slot: 1, Power: 100}
+	third := Member{Name: "c", Zone: "north", Address: "10.0.0.3:1", Life: 1, Slot: 3, Power: power}
+	claim := Claim{Zone: "north", Token: 1 << (slotBits + lifeBits), Holder: holder}
+	b.step(Enrol{Slot: 2, Life: 2, Members: []Member{holder, third}, Claims: []Stored{{Claim: claim, Version: 7}}})
+	holder.Life, holder.Slot = 2, 0 // it is not registered yet
+	b.step(Receive{From: holder.Address, Message: Message{Beat: &Beat{Member: holder, Sent: b.now.UnixNano(), Echo: b.now.UnixNano()}}})
+	return b
+}
+
+// TestClaimAfterRestartOfAll: a host that knows the last holder to be dead claims at once,
+// unless a much stronger one may have started as well.
+func TestClaimAfterRestartOfAll(t *testing.T) {
+	tick := Standard().Tick
+	for power, want := range map[int]time.Duration{100: tick, 300: Standard().Settle/4 - 2*tick} {
+		b := restarted(power)
+		span := time.Duration(0)
+		for len(only[Stake](b.last)) == 0 && span < time.Second {
+			span += tick
+			b.now = b.now.Add(tick)
+			b.step(Tick{})
+		}
+		assert.Equal(t, want, span, "power %d", power)
+	}
+}
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -225,7 +225,7 @@
 	r.emit(Decide{Action: "recall", Pairs: []any{"rows", len(e.Kept), "routes", len(r.learned)}})
 }
 
-// study takes what another host has learned from more tasks than this one. Runs
+// study takes what another host has learned from more tasks than this one. Run
 // times and speeds only make sense together.
 func (r *Router) study(lessons []Lesson, speeds []Speed) {
 	theirs, own := 0, 0
