--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -55,6 +55,8 @@
 func (r *Router) learn(claim Claim) {
 	r.generation = max(r.generation, generationOf(claim.Token))
 	c := r.cell(claim.Zone)
+	c.row = max(c.row, claim.Row)
+	claim.Row = 0
 	if claim.Token <= c.claim.Token {
 		return
 	}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -314,6 +314,9 @@
 	news := false
 	for _, row := range e.Rows {
 		c := r.cell(row.Claim.Zone)
+		if e.Result == Beaten {
+			c.row = row.Version // as the store has it, whatever heartbeats have told
+		}
 		c.row = max(c.row, row.Version)
 		if e.Result == Won && row.Claim.Token == c.claim.Token {
 			c.unwritten = false
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -230,3 +230,45 @@
 		assert.Equal(t, want, span, "power %d", power)
 	}
 }
+
+// TestClaimKnowsRows: the holder's heartbeats tell which version of its row the next claim
+// has to name, so that the first one is not beaten.
+func TestClaimKnowsRows(t *testing.T) {
+	b := newSides(t, "n2", "s1")
+	for _, zone := range []string{"north", "south", "west"} {
+		claim := Claim{Zone: zone, Token: 1<<(slotBits+lifeBits) | 1, Holder: b.peers["s1"], Row: 42}
+		b.step(Receive{From: b.peers["s1"].Address, Message: Message{Beat: &Beat{Member: b.peers["s1"], Sent: b.now.UnixNano(), Claims: []Claim{claim}}}})
+	}
+	stakes := only[Stake](b.touch(2*b.router.Bounds.Silence, "n2"))
+	require.NotEmpty(t, stakes)
+	for _, row := range stakes[0].Rows {
+		assert.EqualValues(t, 42, row.Version, row.Claim.Zone)
+		assert.Zero(t, row.Claim.Row)
+	}
+}
+
+// TestHolderTellsRows: a holder's heartbeats name the versions that its claim was given.
+func TestHolderTellsRows(t *testing.T) {
+	b := newSides(t, "n2", "s1")
+	var stakes []Stake
+	for len(stakes) == 0 {
+		stakes = only[Stake](b.touch(b.router.Bounds.Tick, "n2"))
+	}
+	rows := stakes[0].Rows
+	for i := range rows {
+		rows[i].Version = 43
+	}
+	b.step(Claimed{Token: stakes[0].Token, Result: Won, Rows: rows})
+	require.Len(t, b.held(), 3)
+	told := 0
+	for _, send := range only[Send](b.touch(time.Second, "n2")) {
+		if send.Message.Beat == nil {
+			continue
+		}
+		for _, claim := range send.Message.Beat.Claims {
+			assert.EqualValues(t, 43, claim.Row)
+			told++
+		}
+	}
+	assert.Positive(t, told)
+}
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -93,6 +93,10 @@
 	Zone   string `cbor:"1,keyasint"`
 	Token  uint64 `cbor:"2,keyasint"`
 	Holder Member `cbor:"3,keyasint"`
+	// Row is the version of the claim's row in the store, as far as the sender of a
+	// heartbeat knows it: the next claim is made on the condition that it has not
+	// changed. 0 means that it is not known, or that the claim is not written yet.
+	Row uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Job is a submission: tasks of one shape that run side by side.
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -189,7 +189,9 @@
 	var claims []Claim
 	for _, zone := range sortedKeys(r.cells) {
 		if c := r.cells[zone]; c.claim.Token > 0 && (c.mine || r.related(zone)) {
-			claims = append(claims, c.claim)
+			claim := c.claim
+			claim.Row = c.row
+			claims = append(claims, claim)
 		}
 	}
 	return claims
