--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -74,26 +74,45 @@
 }
 
 func (s *store) stake(h *host, e router.Stake) {
-	s.reach(h, func() {
-		claimed := router.Claimed{Token: e.Token, Result: router.Won}
-		for _, row := range e.Rows {
-			if s.claims[row.Claim.Zone].Version != row.Version {
-				claimed.Result = router.Beaten
-			}
-		}
-		if claimed.Result == router.Won {
-			s.version++
-			for _, row := range e.Rows {
-				s.claims[row.Claim.Zone] = router.Stored{Claim: row.Claim, Version: s.version}
-			}
-		}
-		for _, row := range e.Rows {
-			claimed.Rows = append(claimed.Rows, s.claims[row.Claim.Zone])
-		}
+	ok := s.reach(h, func() {
+		claimed := s.write(e)
 		if !s.lost {
 			h.later(0, func() { h.step(claimed) })
 		}
 	})
+	if late := lateWrite(e.Token); !ok && late > 0 {
+		s.world.after(late, func() { s.write(e) })
+	}
+}
+
+// lateWrite returns how long after it was sent a call is performed that could not reach
+// the store, or 0 for never: half of all, so that the same claim always fares alike.
+func lateWrite(token uint64) time.Duration {
+	const longest = 4096 // milliseconds
+	if token%2 == 0 {
+		return 0
+	}
+	return time.Duration(token*token%longest) * time.Millisecond
+}
+
+// write writes claims if none of their rows has changed.
+func (s *store) write(e router.Stake) router.Claimed {
+	claimed := router.Claimed{Token: e.Token, Result: router.Won}
+	for _, row := range e.Rows {
+		if s.claims[row.Claim.Zone].Version != row.Version {
+			claimed.Result = router.Beaten
+		}
+	}
+	if claimed.Result == router.Won {
+		s.version++
+		for _, row := range e.Rows {
+			s.claims[row.Claim.Zone] = router.Stored{Claim: row.Claim, Version: s.version}
+		}
+	}
+	for _, row := range e.Rows {
+		claimed.Rows = append(claimed.Rows, s.claims[row.Claim.Zone])
+	}
+	return claimed
 }
 
 func (s *store) keep(h *host, e router.Keep) {
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -61,7 +61,8 @@
 		return
 	}
 	if claim.Holder.Address == r.Self.Address && claim.Holder.Life == r.Self.Life {
-		return // only a claim that this process completed makes it the holder
+		r.confirm(c, claim.Token)
+		return
 	}
 	r.emit(Decide{Action: "holder", Pairs: []any{"zone", c.zone, "holder", claim.Holder.Name, "token", claim.Token, "before", c.claim.Holder.Name}})
 	c.claim, c.fenced, c.backoff, c.learned = claim, false, 0, r.now
@@ -73,6 +74,15 @@
 	}
 }
 
+// confirm takes a claim of this process that it has given up for want of an answer: the
+// store has written it later, and the other hosts go by it.
+func (r *Router) confirm(c *cell, token uint64) {
+	if !r.leaving.IsZero() || r.stake != nil && r.stake.token == token {
+		return // others take over, or the answer is under way
+	}
+	r.acquire(c, token)
+}
+
 // holderOf returns the member that holds a zone's cell and can be reached, or
 // nil.
 func (r *Router) holderOf(zone string) *Member {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -321,7 +321,7 @@
 		if e.Result == Won && row.Claim.Token == c.claim.Token {
 			c.unwritten = false
 		}
-		if e.Result != Won && row.Claim.Token > c.claim.Token {
+		if row.Claim.Token > c.claim.Token && (e.Result != Won || r.stake == nil || r.stake.token != e.Token) {
 			news = true
 			r.learn(row.Claim)
 		}
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -198,6 +198,33 @@
 	}
 }
 
+// TestLateClaim: a claim that this host has given up for want of an answer may be written
+// to the store later. The other hosts then take it for the holder, so it has to act as one.
+func TestLateClaim(t *testing.T) {
+	for _, way := range []string{"answer", "heartbeat"} {
+		b := newSides(t, "n2", "n3", "s1", "s2", "s3", "w1", "w2")
+		var lost Stake
+		for _, stake := range only[Stake](b.touch(2*time.Second, "n2", "n3")) {
+			for _, row := range stake.Rows {
+				if row.Claim.Zone == "south" {
+					lost = stake
+				}
+			}
+		}
+		require.NotZero(t, lost.Token, "the smaller side asks the store for cells that seem to lack a holder")
+		b.touch(time.Second, "n2", "n3")
+		require.NotContains(t, b.held(), "south")
+		if way == "answer" {
+			b.step(Claimed{Token: lost.Token, Result: Won, Rows: lost.Rows})
+		} else {
+			m := b.peers["s2"]
+			claims := []Claim{{Zone: "south", Token: lost.Token, Holder: b.router.Self}}
+			b.step(Receive{From: m.Address, Message: Message{Beat: &Beat{Member: m, Sent: b.now.UnixNano(), Claims: claims}}})
+		}
+		assert.Contains(t, b.held(), "south", way)
+	}
+}
+
 // restarted returns a router that starts at the same time as the holder of all cells: the
 // store still names the holder's earlier process, and its heartbeat shows the next one. A
 // third host is known from the store only.
