router: targets are left out for their pace

A run counted as stalled when it was behind by 0.12 s and three times; tasks of 60 ms end before that, and each that ended took its target's trial for passed.

Change: a sequential test (CUSUM) of run times against what is expected, from progress as soon as that is telling: two or three slow runs leave a target out, a slow trial does so again. A run at such a target is moved where it would end in less than half of the time elsewhere. At most a third of the targets are left out for it, since where more are slow the expectation is wrong. Runs without any progress count as well.

--- a/internal/modeler/load_test.go
+++ b/internal/modeler/load_test.go
@@ -119,3 +119,11 @@
 		})
 	}
 }
+
+// TestSlowTargets lets a sixth of the targets be six times as slow for seven seconds, while
+// there is room for all on the others: callers hardly notice.
+func TestSlowTargets(t *testing.T) {
+	f := Fault{Trouble: SlowTarget, At: 3 * time.Second, For: 7 * time.Second, Share: 1.0 / 6}
+	worth := meanWorth(t, func() *World { return usersWorld(0.8, 12*time.Second, f) })
+	assert.GreaterOrEqual(t, worth, 0.97)
+}
--- /dev/null
+++ b/internal/router/drag.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// dragAllowed is the logarithm of the factor by which runs may take longer than
+	// expected on average at a sound target: 1.6.
+	dragAllowed = 0.5
+	// dragToBar is the sum of what runs take beyond that which leaves a target out: two or
+	// three runs at a sixth to a quarter of the speed. Runs of a sound target, whose
+	// logarithms deviate by 0.45, reach it once in some ten thousand.
+	dragToBar = 2
+	// mostDrag bounds what one run adds, so that it takes two to leave a target out.
+	mostDrag = 1.5
+	// slowTrial is the logarithm of the factor from which a trial has failed: 2.
+	slowTrial = 0.7
+	// tellingRun is the shortest run whose progress tells its pace: the clock of a target
+	// counts milliseconds, and its lists whole percents.
+	tellingRun = 30 * time.Millisecond
+	// farTotal is how many times as long as expected a run takes that is known to be slow
+	// although its progress has hardly begun.
+	farTotal = 5
+	// mostBarred is the part of a service's targets that may be left out for their pace.
+	// Where more are slow, it is not the targets that differ from what is expected.
+	mostBarred = 1.0 / 3
+)
+
+// pace takes how long a run takes in all, as soon as that shows. It is a sequential test
+// (CUSUM) of whether the target has become slow.
+func (r *Router) pace(n *run, total time.Duration) {
+	if n.paced || n.adopted || n.expect <= 0 || total <= 0 || !r.isPredictable(n.job.spec.Route) {
+		return
+	}
+	n.paced = true
+	t := n.target
+	excess := math.Log(total.Seconds() / n.expect.Seconds())
+	n.slow = excess > slowTrial
+	t.drag = max(t.drag+min(excess, mostDrag+dragAllowed)-dragAllowed, 0)
+	failed := t.trial && n.slow
+	if !failed && t.drag < dragToBar || r.now.Before(t.barred) || !r.mayBar(t) {
+		return
+	}
+	t.drag = 0
+	r.bar(t, stallFor, "slow")
+}
+
+// leastTotal returns the time that a run takes in all, at least, after it has run for so
+// long.
+func (n *run) leastTotal(ran time.Duration) time.Duration {
+	return seconds(ran.Seconds() * hundred / (n.percent + 1))
+}
+
+// isPredictable reports whether run times of a route are predicted from measured ones.
+func (r *Router) isPredictable(route string) bool {
+	h := r.learned[route]
+	return h != nil && h.count >= historyTrust
+}
+
+// mayBar reports whether few enough targets of the service are left out.
+func (r *Router) mayBar(t *target) bool {
+	all, barred := 0, 0
+	for _, other := range r.pool {
+		if other.Service == t.Service && other.listed {
+			all++
+			barred += one(r.now.Before(other.barred))
+		}
+	}
+	return float64(barred+1) <= mostBarred*float64(all)
+}
+
+// isSoonerElsewhere reports whether a run would end much sooner if it were stopped and its
+// task started anew at a sound target.
+func (r *Router) isSoonerElsewhere(n *run, ran time.Duration) bool {
+	const clearly = 2 // work is thrown away, and there may be no room
+	return n.leastTotal(ran)-ran > clearly*(r.Bounds.Stop+n.job.expect)
+}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -53,8 +53,13 @@
 	if percent >= telling {
 		n.total = seconds(ran.Seconds() * hundred / percent)
 	}
+	if total := n.leastTotal(ran); ran >= tellingRun && (percent >= telling || total > farTotal*n.expect) {
+		r.pace(n, total)
+	}
 	slow := float64(ran) > float64(n.expect)*stallFactor*max(percent, 1)/hundred+float64(stallSlack)
 	switch {
+	case n.slow && r.now.Before(n.target.barred) && r.isSoonerElsewhere(n, ran):
+		r.relocate(n, ran)
 	case slow && r.stalled(n, ran):
 	case percent >= telling:
 		r.foresee(n)
@@ -87,12 +92,18 @@
 	if again.After(n.job.deadline) || n.percent > hundred/2 {
 		return false
 	}
+	r.relocate(n, ran)
+	return true
+}
+
+// relocate stops a run so that its task starts at another target.
+func (r *Router) relocate(n *run, ran time.Duration) {
+	t := n.target
 	r.emit(Decide{Action: "move", Job: n.job.spec.ID, Task: taskName(n.job.spec.ID, n.task), Target: t.ID, Pairs: []any{
 		"percent", n.percent, "ran", ran.Round(time.Millisecond).String(), "expect", n.expect.Round(time.Millisecond).String(),
 	}})
 	n.job.tasks[n.task].shunned = append(n.job.tasks[n.task].shunned, t.ID)
 	r.halt(n)
-	return true
 }
 
 // foresee gives a job up as soon as one of its runs shows that it cannot end in
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -38,6 +38,7 @@
 	// is left out until a trial succeeds.
 	failures int
 	stalls   int       // runs far behind in a row
+	drag     float64   // how much longer runs take lately than allowed, see pace
 	strikes  int       // times in a row that it was left out
 	barred   time.Time // no starts before
 	trial    bool      // the next start is a trial
@@ -52,6 +53,8 @@
 	need   Room
 	state  runState
 	sent   time.Time
+	// adopted tells that an earlier holder started the run: its start is not known.
+	adopted bool
 	// repeated tells that the start was ordered a second time.
 	repeated bool
 	// clock is the target's clock, in milliseconds, when the run had begun; 0 means
@@ -69,6 +72,8 @@
 	percent float64
 	total   time.Duration
 	counted bool
+	// paced tells that the run's pace has been taken, and slow that it was too slow.
+	paced, slow bool
 }
 
 type runState string
@@ -170,7 +175,7 @@
 	r.logTarget(t, "restarted", "born", born)
 	t.born, t.acked, t.clock, t.listing = born, 0, Reading{}, 0
 	t.orphan, t.finished = make(map[string]int), make(map[string]End)
-	t.failures, t.barred = 0, time.Time{}
+	t.failures, t.drag, t.barred = 0, 0, time.Time{}
 	r.look(t) // for starts that were answered after the list was asked for
 }
 
