router: run times of adopted runs teach nothing; a wrong history is forgotten

After a takeover the expected run time of one route fell from 0.9 to 0.13 s: the new holder did not know the route yet and learned from runs that the last one had started, of which it saw the rest only.

Ruled out: what is kept in the store, which was too young to be trusted.

--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -14,6 +14,8 @@
 	meanX, meanY float64 // declared and measured, logarithms of seconds
 	varX, covXY  float64
 	budgets      budgets
+	// strangers is by how many more of the last tasks were outliers than not.
+	strangers int
 }
 
 // Lesson is a history on its way to another host, so that a new holder does not
@@ -94,7 +96,7 @@
 // learnFrom takes the run time of a task that is done.
 func (r *Router) learnFrom(n *run) {
 	ran := r.now.Sub(n.sent)
-	if ran <= 0 {
+	if ran <= 0 || n.adopted {
 		return
 	}
 	kind := n.target.kind()
@@ -103,8 +105,10 @@
 	if h.count >= historyTrust {
 		off := y - math.Log(r.predict(&n.job.spec).Seconds())
 		if math.Abs(off) > outlier {
+			h.strange()
 			return
 		}
+		h.strangers = max(h.strangers-1, 0)
 		r.learnSpeed(kind, off)
 	}
 	h.take(math.Log(declared(&n.job.spec).Seconds()), y)
@@ -120,6 +124,15 @@
 	return h
 }
 
+// strange notes an outlier. When most tasks are, what was learned is wrong, and learning
+// begins anew.
+func (h *history) strange() {
+	h.strangers++
+	if h.strangers > historyTrust {
+		*h = history{budgets: h.budgets}
+	}
+}
+
 // take adds one task.
 func (h *history) take(x, y float64) {
 	h.count++
