router, modeler, shallotmodel: mechanisms can be switched off; ends seen late do not speak against a target

shallotmodel -ablate SCENARIO plays the policy in force without each of its mechanisms in turn, with the same seeds, and prints the differences with their 95 % intervals.

A new holder whose processor is full sees the ends of all runs late and left out a third of the targets. Only slow progress, which targets tell by their own clocks, counts against them.

--- a/cmd/shallotmodel/main.go
+++ b/cmd/shallotmodel/main.go
@@ -37,6 +37,7 @@
 		set.PrintDefaults()
 	}
 	jobs := set.Int("jobs", 2, "how many worlds to play at a time")
+	ablate := set.Bool("ablate", false, "play the policy in force without each of its mechanisms, whatever policies the scenario names")
 	report := set.String("json", "", "write the rows to this `file` as JSON")
 	plots := set.String("plots", "", "write plots to this `folder`")
 	format := set.String("format", "svg", "the `format` of the plots, svg or png")
@@ -62,9 +63,16 @@
 		fmt.Fprintln(notes, err)
 		return exitUsage
 	}
+	if *ablate {
+		scenario.Ablate()
+	}
 	rows := scenario.Play(*jobs, func(done, all int) { fmt.Fprintf(notes, "\r%d of %d worlds", done, all) })
 	fmt.Fprintln(notes)
-	if err := write(rows, out, *report, plotter{folder: *plots, format: *format}); err != nil {
+	show := table
+	if *ablate {
+		show = ablation
+	}
+	if err := write(rows, out, show, *report, plotter{folder: *plots, format: *format}); err != nil {
 		fmt.Fprintln(notes, err)
 		return exitFailed
 	}
@@ -72,8 +80,8 @@
 }
 
 // write writes the rows as a table, and as JSON and plots where asked for.
-func write(rows []modeler.Row, out io.Writer, report string, plots plotter) error {
-	if err := table(rows, out); err != nil {
+func write(rows []modeler.Row, out io.Writer, show func([]modeler.Row, io.Writer) error, report string, plots plotter) error {
+	if err := show(rows, out); err != nil {
 		return err
 	}
 	if report != "" {
@@ -91,6 +99,16 @@
 	return plots.all(rows)
 }
 
+// ablation prints what each policy is worth, and the difference to the first.
+func ablation(rows []modeler.Row, out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "POLICY\tLOAD\tWORTH\tWORST 2 S\tDIFFERENCE\t95 %")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%s\t%.2f\t%.4f\t%.4f\t%+.4f\t%.4f\n", r.Policy, r.Load, r.Worth, r.Worst, r.Gain, r.Margin)
+	}
+	return w.Flush()
+}
+
 func table(rows []modeler.Row, out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "POLICY\tLOAD\tWORTH\tWORST 2 S\tBOUND\tKIND\tASKED\tIN TIME\tLATE\tREFUSED\tFAILED\tWORTH\tP50\tP99")
--- a/cmd/shallotmodel/main_test.go
+++ b/cmd/shallotmodel/main_test.go
@@ -37,6 +37,16 @@
 	}
 }
 
+// TestAblate plays a scenario without each mechanism and prints the differences.
+func TestAblate(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.ini")
+	require.NoError(t, os.WriteFile(path, []byte("[scenario]\nsite = restrepo\nseeds = 1\nlength = 1s\n"), 0o600))
+	var out, notes bytes.Buffer
+	require.Zero(t, run([]string{"-ablate", path}, &out, &notes), notes.String())
+	assert.Regexp(t, `pooled +1\.00 +[01]\.\d+ +[01]\.\d+ +\+0\.0000`, out.String())
+	assert.Regexp(t, `without pace +1\.00`, out.String())
+}
+
 // TestWrongUse: wrong command lines and scenarios play nothing and say why.
 func TestWrongUse(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.ini")
--- a/internal/modeler/scenario.go
+++ b/internal/modeler/scenario.go
@@ -43,6 +43,30 @@
 	}
 }
 
+// Ablations returns the policy in force, and it without each of its mechanisms.
+func Ablations() []Variant {
+	list := []Variant{
+		Variants()[0],
+		{"without order", func(w *World) { w.Policy.Order = router.ByArrival }},
+		{"without refusals", func(w *World) { w.Policy.Admission = router.AdmitAll }},
+		{"without shares", func(w *World) { w.Policy.Sharing = router.Unshared }},
+		{"without retries", func(w *World) { w.Policy.Retries = router.AsNew }},
+	}
+	for _, m := range router.Mechanisms() {
+		list = append(list, Variant{"without " + string(m), func(w *World) { w.Policy.Without = m }})
+	}
+	return list
+}
+
+// Ablate makes the scenario one that plays the policy in force without each of its
+// mechanisms.
+func (v *Scenario) Ablate() {
+	v.Policies = nil
+	for _, variant := range Ablations() {
+		v.Policies = append(v.Policies, variant.Name)
+	}
+}
+
 // Sites returns the sites that scenarios name.
 func Sites() map[string]func() World {
 	return map[string]func() World{"restrepo": Restrepo, "kutchwala": Kutchwala}
@@ -121,6 +145,11 @@
 	Worth float64 `json:"worth"`
 	Worst float64 `json:"worst"`
 	Bound float64 `json:"bound"`
+	// Gain is by how much the worth differs from that of the first policy under the same
+	// load, and Margin half of its 95 % interval, from seeds that are played by both;
+	// it is 0 where there is only one.
+	Gain   float64 `json:"gain"`
+	Margin float64 `json:"margin,omitempty"`
 	// Seconds is the worth by second, Zones by the client's zone.
 	Seconds []float64          `json:"seconds"`
 	Zones   map[string]float64 `json:"zones"`
@@ -162,7 +191,10 @@
 	p.group.Wait()
 	var rows []Row
 	for i := 0; i < len(trials); i += v.Seeds {
-		rows = append(rows, summarize(trials[i:i+v.Seeds]))
+		row := summarize(trials[i : i+v.Seeds])
+		first := i - i%(len(v.Policies)*v.Seeds)
+		row.Gain, row.Margin = compare(trials[i:i+v.Seeds], trials[first:first+v.Seeds])
+		rows = append(rows, row)
 	}
 	return rows
 }
@@ -193,7 +225,7 @@
 func (t *trial) run() {
 	w := Sites()[t.scenario.Site]()
 	w.Load, w.Seed, w.Length, w.Faults = t.load, t.seed, t.scenario.Length, t.scenario.Faults
-	for _, variant := range Variants() {
+	for _, variant := range slices.Concat(Variants()[1:], Ablations()) {
 		if variant.Name == t.policy {
 			variant.Change(&w)
 		}
--- a/internal/modeler/scenario_test.go
+++ b/internal/modeler/scenario_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/shallotrouter/shallotrouter/internal/parser"
+	"github.com/shallotrouter/shallotrouter/internal/router"
 )
 
 // TestScenarioFaults: all faults of a scenario are told at once.
@@ -68,3 +69,40 @@
 	assert.InDelta(t, (1+2+lateWorth)/4, tally.Bound(9), 1e-9)
 	assert.InDelta(t, (1+1+2*lateWorth/2+lateWorth)/4, tally.Bound(5), 1e-9)
 }
+
+// TestAblations: each mechanism is switched off in turn, and the policy in force is compared
+// with itself first.
+func TestAblations(t *testing.T) {
+	s := &Scenario{Site: "restrepo", Loads: []float64{0.5, 1}, Seeds: 1, Length: time.Second}
+	s.Ablate()
+	assert.Len(t, s.Policies, 5+len(router.Mechanisms()))
+	rows := s.Play(4, func(int, int) {})
+	require.Len(t, rows, 2*len(s.Policies))
+	for i, r := range rows {
+		assert.Empty(t, r.Broken, r.Policy)
+		if i%len(s.Policies) == 0 {
+			assert.Zero(t, r.Gain, r.Policy)
+		}
+		first := rows[i-i%len(s.Policies)]
+		assert.InDelta(t, first.Worth+r.Gain, r.Worth, 1e-9, r.Policy)
+	}
+}
+
+// TestMargin: the margin is that of the differences between worlds with the same seeds.
+func TestMargin(t *testing.T) {
+	worth := func(values ...float64) []*trial {
+		var list []*trial
+		for _, v := range values {
+			t := &trial{}
+			t.tally.Kinds = map[string]*Count{"k": {Earned: v, Owed: 1}}
+			list = append(list, t)
+		}
+		return list
+	}
+	gain, margin := compare(worth(0.9, 0.7, 0.5), worth(0.8, 0.6, 0.4))
+	assert.InDelta(t, 0.1, gain, 1e-9)
+	assert.InDelta(t, 0, margin, 1e-6)
+	gain, margin = compare(worth(0.9, 0.5), worth(0.8, 0.6))
+	assert.InDelta(t, 0, gain, 1e-9)
+	assert.InDelta(t, 1.96*0.1, margin, 1e-9)
+}
--- a/internal/modeler/summary.go
+++ b/internal/modeler/summary.go
@@ -1,6 +1,9 @@
 package modeler
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // spanLength is the length, in seconds, of the spans of which the worst is told.
 const spanLength = 2
@@ -50,6 +53,23 @@
 	return row
 }
 
+// compare returns the mean difference in worth between trials of two policies with the same
+// seeds, and half of its 95 % interval.
+func compare(trials, base []*trial) (gain, margin float64) {
+	const deviations = 1.96
+	n := float64(len(trials))
+	squares := 0.0
+	for i, t := range trials {
+		d := t.tally.Worth() - base[i].tally.Worth()
+		gain += d / n
+		squares += d * d / n
+	}
+	if n < 2 {
+		return gain, 0
+	}
+	return gain, deviations * math.Sqrt(max(squares-gain*gain, 0)/(n-1))
+}
+
 func join[K comparable](list map[K]*Balance, key K, earned, owed float64) {
 	if list[key] == nil {
 		list[key] = &Balance{}
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -69,6 +69,9 @@
 	}
 	if r.now.Add(wait).After(until) {
 		spell := r.shareOf(j).refuse(r.now)
+		if !r.uses(Spells) {
+			spell = 0
+		}
 		v.Reason, v.After = Overload, min(max(r.now.Add(wait).Sub(j.latest), spell, minRetry), maxRetry)
 		return v, true
 	}
@@ -85,6 +88,9 @@
 		mean = work
 	}
 	r.works[j.spec.Route] = mean + (work-mean)/workWindow
+	if !r.uses(WorkWeights) {
+		return 1
+	}
 	return min(baseShare+(1-baseShare)*work/mean, mostShare)
 }
 
--- a/internal/router/drag.go
+++ b/internal/router/drag.go
@@ -31,7 +31,7 @@
 // pace takes how long a run takes in all, as soon as that shows. It is a sequential test
 // (CUSUM) of whether the target has become slow.
 func (r *Router) pace(n *run, total time.Duration) {
-	if n.paced || n.adopted || n.expect <= 0 || total <= 0 || !r.isPredictable(n.job.spec.Route) {
+	if n.paced || n.adopted || n.expect <= 0 || total <= 0 || !r.isPredictable(n.job.spec.Route) || !r.uses(Pacing) {
 		return
 	}
 	n.paced = true
@@ -53,6 +53,14 @@
 	return seconds(ran.Seconds() * hundred / (n.percent + 1))
 }
 
+// paceOfDone takes how long a run took until its end was seen here. A host that lacks
+// processor time sees ends late, so this speaks for a target only, not against it.
+func (r *Router) paceOfDone(n *run, total time.Duration) {
+	if total.Seconds() < n.expect.Seconds()*math.Exp(dragAllowed) {
+		r.pace(n, total)
+	}
+}
+
 // isPredictable reports whether run times of a route are predicted from measured ones.
 func (r *Router) isPredictable(route string) bool {
 	h := r.learned[route]
--- a/internal/router/drag_test.go
+++ b/internal/router/drag_test.go
@@ -69,3 +69,14 @@
 	b.ranFor("p", 5, 5)
 	assert.False(t, b.now.Before(b.router.targets["p"].barred))
 }
+
+// TestEndsSeenLate: a holder that lacks processor time sees the ends of all runs late, which
+// says nothing of the targets.
+func TestEndsSeenLate(t *testing.T) {
+	b := paceBed(t, 4)
+	p := b.router.targets["p"]
+	for range 10 {
+		b.router.judge(&run{job: &job{spec: pair("j")}, target: p, expect: 100 * time.Millisecond, sent: b.router.now.Add(-500 * time.Millisecond)}, Done)
+	}
+	assert.False(t, b.now.Before(p.barred))
+}
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -78,7 +78,7 @@
 func (r *Router) predict(spec *Job) time.Duration {
 	x := math.Log(declared(spec).Seconds())
 	h := r.learned[spec.Route]
-	if h == nil || h.count < historyTrust {
+	if h == nil || h.count < historyTrust || !r.uses(RunTimes) {
 		return declared(spec)
 	}
 	return seconds(math.Exp(h.meanY + h.slope()*(x-h.meanX)))
@@ -157,7 +157,7 @@
 
 // speedLog returns the logarithm of a kind's factor on the run time.
 func (r *Router) speedLog(kind string) float64 {
-	if s := r.speeds[kind]; s != nil && s.Count >= speedTrust {
+	if s := r.speeds[kind]; s != nil && s.Count >= speedTrust && r.uses(KindSpeeds) {
 		return s.Log
 	}
 	return 0
@@ -166,7 +166,7 @@
 // speed returns a kind's factor on the run time.
 func (r *Router) speed(kind string) float64 {
 	s := r.speeds[kind]
-	if s == nil || s.Count < speedTrust {
+	if s == nil || s.Count < speedTrust || !r.uses(KindSpeeds) {
 		return 1
 	}
 	if s.factor == 0 || s.asked != s.Log {
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -167,7 +167,7 @@
 		if n.job.over || n.job.tasks[n.task].run != n {
 			r.halt(n)
 		}
-	case e.Result == Doubtful && !n.repeated && !n.job.over:
+	case e.Result == Doubtful && !n.repeated && !n.job.over && r.uses(Repeating):
 		r.repeat(n)
 	case e.Result == Doubtful || n.repeated:
 		r.doubt(n, e.Result)
@@ -319,7 +319,7 @@
 	t := n.target
 	switch how {
 	case Done:
-		r.pace(n, r.now.Sub(n.sent))
+		r.paceOfDone(n, r.now.Sub(n.sent))
 		t.failures = 0
 		if !n.slow {
 			t.trial = false
@@ -329,7 +329,7 @@
 		}
 	case Broke:
 		t.failures++
-		if t.failures >= failuresToBar || t.trial {
+		if r.uses(Failing) && (t.failures >= failuresToBar || t.trial) {
 			r.bar(t, barFor, "failing")
 		}
 	}
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -60,8 +60,8 @@
 	switch {
 	case n.slow && r.now.Before(n.target.barred) && r.isSoonerElsewhere(n, ran):
 		r.relocate(n, ran)
-	case slow && r.stalled(n, ran):
-	case percent >= telling:
+	case slow && r.uses(Stalling) && r.stalled(n, ran):
+	case percent >= telling && r.uses(Foresight):
 		r.foresee(n)
 	}
 }
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -203,13 +203,16 @@
 	if j.spec.Rack != "" && !t.has(j.spec.Rack) {
 		penalty += farPenalty
 	}
-	if r.busy < roomy && r.zoneOf(j.origin) != t.Zone {
+	if r.uses(OwnZone) && r.busy < roomy && r.zoneOf(j.origin) != t.Zone {
 		penalty += awayPenalty
 	}
 	expect := r.expectAt(j, t)
 	if r.now.Add(seconds(expect.Seconds()*caution) + travel).After(j.goal) {
 		return penalty + latePenalty + int(expect.Milliseconds())
 	}
+	if !r.uses(FastTargets) {
+		return penalty
+	}
 	speed := j.task.Seconds() / max(expect.Seconds(), 1e-3)
 	if r.busy < scarce {
 		speed = -speed
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -7,8 +7,52 @@
 	Admission Admission
 	Sharing   Sharing
 	Retries   Retries
+	// Without switches one mechanism off, to measure what it is worth.
+	Without Mechanism
 }
 
+// Mechanism is a part of the policy that can be switched off.
+type Mechanism string
+
+const (
+	// WorkWeights refuses jobs with much work for their route earlier.
+	WorkWeights Mechanism = "weights"
+	// Spells tells refused clients to stay away while overload is expected to last.
+	Spells Mechanism = "spells"
+	// OwnZone keeps tasks in the zone of their client while there is room.
+	OwnZone Mechanism = "zone"
+	// FastTargets uses fast targets first, and keeps them for long tasks once they are scarce.
+	FastTargets Mechanism = "fast"
+	// RunTimes predicts run times from measured ones.
+	RunTimes Mechanism = "times"
+	// KindSpeeds learns how fast each kind of target is.
+	KindSpeeds Mechanism = "speeds"
+	// Pacing leaves targets out on which runs take longer than expected.
+	Pacing Mechanism = "pace"
+	// Stalling moves runs that are far behind, and leaves their targets out.
+	Stalling Mechanism = "stalls"
+	// Failing leaves targets out on which runs fail.
+	Failing Mechanism = "failures"
+	// Foresight gives jobs up once a run shows that they cannot end in time.
+	Foresight Mechanism = "foresight"
+	// Repeating orders a start once more that was not answered.
+	Repeating Mechanism = "repeats"
+	// Doubting offers nothing to a holder that has been quiet for more than a heartbeat.
+	Doubting Mechanism = "doubts"
+	// Standby keeps connections to the targets open at the hosts that follow the holder.
+	Standby Mechanism = "standby"
+)
+
+// Mechanisms returns all parts that can be switched off.
+func Mechanisms() []Mechanism {
+	return []Mechanism{
+		WorkWeights, Spells, OwnZone, FastTargets, RunTimes, KindSpeeds, Pacing, Stalling, Failing, Foresight, Repeating, Doubting, Standby,
+	}
+}
+
+// uses reports whether a mechanism is in force.
+func (r *Router) uses(m Mechanism) bool { return r.Policy.Without != m }
+
 // Order is which of the waiting jobs comes first.
 type Order string
 
--- a/internal/router/standby.go
+++ b/internal/router/standby.go
@@ -15,7 +15,7 @@
 // A takeover sends orders to all targets at once; opening the connections then would take
 // a small processor longer than the takeover itself.
 func (r *Router) standBy() {
-	if r.now.Sub(r.warmed) < warmPause || !r.isSuccessor() {
+	if r.now.Sub(r.warmed) < warmPause || !r.isSuccessor() || !r.uses(Standby) {
 		return
 	}
 	for _, entry := range r.directory.Targets {
