router: names of the field for what hosts, claims and runs do

Predicates say what is true (isOrphaned, hasStalePeer, hasMajority), handlers are named after their event, claims under way are pending claims. Behaviour and checks are untouched.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -170,7 +170,7 @@
 func (r *Router) reconsider(j *job) {
 	last := j.last()
 	switch {
-	case j.resent && !r.clear(j):
+	case j.resent && !r.isCleared(j):
 		// Its other tasks may still be found running for a moment; after that
 		// they cannot start before the quarantine is over.
 		if r.now.Sub(j.offered) > r.Bounds.Orphan && j.cleared.After(last) {
@@ -178,14 +178,14 @@
 		}
 	case r.now.After(last):
 		r.giveUp(j, Expired)
-	case r.Policy.Admission == ByBacklog && !j.begun && !j.resent && r.isLate(j) && r.pressed(j):
+	case r.Policy.Admission == ByBacklog && !j.begun && !j.resent && r.isLate(j) && r.isContended(j):
 		r.giveUp(j, Overload)
 	}
 }
 
-// pressed reports whether jobs that can still be in time wait for the targets
+// isContended reports whether jobs that can still be in time wait for the targets
 // of this one.
-func (r *Router) pressed(j *job) bool {
+func (r *Router) isContended(j *job) bool {
 	for _, other := range r.queue.Items() {
 		if other != j && other.spec.Service == j.spec.Service && !r.isLate(other) {
 			return true
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -16,10 +16,10 @@
 	rivals   time.Time // since when the holder should be another
 	fenced   bool      // targets obey a token that is not known here
 	learned  time.Time // when the claim in force was heard of
-	// unwritten tells that the store has not taken the claim yet; informed is
+	// unwritten tells that the store has not taken the claim yet; published is
 	// when it was last told.
 	unwritten bool
-	informed  time.Time
+	published time.Time
 }
 
 const (
@@ -68,7 +68,7 @@
 	c.claim, c.fenced, c.backoff, c.learned = claim, false, 0, r.now
 	r.reclaimed = r.now
 	c.absent, c.rivals = time.Time{}, time.Time{}
-	r.meet(claim.Holder)
+	r.addPeer(claim.Holder)
 	if c.mine {
 		r.lose(c)
 	}
@@ -77,7 +77,7 @@
 // confirm takes a claim of this process that it has given up for want of an answer: the
 // store has written it later, and the other hosts go by it.
 func (r *Router) confirm(c *cell, token uint64) {
-	if !r.leaving.IsZero() || r.stake != nil && r.stake.token == token {
+	if !r.leaving.IsZero() || r.claiming != nil && r.claiming.token == token {
 		return // others take over, or the answer is under way
 	}
 	r.acquire(c, token)
@@ -100,8 +100,8 @@
 	return &c.claim.Holder
 }
 
-// follow notes since when each cell lacks a holder.
-func (r *Router) follow() {
+// trackHolders notes since when each cell lacks a holder.
+func (r *Router) trackHolders() {
 	for _, zone := range sortedKeys(r.cells) {
 		c := r.cells[zone]
 		if !r.related(zone) && !c.mine {
@@ -172,8 +172,8 @@
 	}
 }
 
-// repelled takes a target's word that it obeys a higher token than this host's.
-func (r *Router) repelled(t *target, token uint64) {
+// handleFence takes a target's word that it obeys a higher token than this host's.
+func (r *Router) handleFence(t *target, token uint64) {
 	c := r.cells[t.Zone]
 	if c == nil || !c.mine || c.claim.Token != token {
 		return
@@ -191,7 +191,7 @@
 		r.emit(Decide{Action: "enrol", Pairs: []any{"slot", e.Slot, "life", e.Life, "members", len(e.Members)}})
 	}
 	for _, m := range e.Members {
-		r.meet(m)
+		r.addPeer(m)
 	}
 	for _, row := range e.Claims {
 		c := r.cell(row.Claim.Zone)
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// stake is a claim under way.
-type stake struct {
+// pendingClaim is a claim under way.
+type pendingClaim struct {
 	token uint64
 	zones []string
 	since time.Time
 }
 
 const (
-	// stakeTimeout bounds the wait for the store, which usually answers in 12 to
+	// claimTimeout bounds the wait for the store, which usually answers in 12 to
 	// 16 ms, to a twentieth of the time without a holder that clients accept (1 s).
-	stakeTimeout = 60 * time.Millisecond
+	claimTimeout = 60 * time.Millisecond
 	// maxBackoff is how often the wait between claims may double.
 	maxBackoff = 16
-	// informEvery is the pause between two tries to write a claim.
-	informEvery = 500 * time.Millisecond
+	// publishEvery is the pause between two tries to write a claim.
+	publishEvery = 500 * time.Millisecond
 )
 
 // candidates returns the members that could hold a zone's cell, best first. All
@@ -45,9 +45,9 @@
 // eight starts of 1 KB with their answers.
 const targetTraffic = 100
 
-// weigh decides whether each zone should have a holder of its own, because no one
+// updateSplit decides whether each zone should have a holder of its own, because no one
 // host can carry all targets with its processor and half of its link.
-func (r *Router) weigh() {
+func (r *Router) updateSplit() {
 	r.link = max(r.link, r.Self.Link)
 	for _, p := range r.peers {
 		r.link = max(r.link, p.member.Link)
@@ -60,14 +60,14 @@
 func (r *Router) countTargets(version uint64, total int) {
 	if version > r.counted {
 		r.counted, r.total = version, total
-		r.weigh()
+		r.updateSplit()
 	}
 }
 
-// contend claims the cells that lack a holder, or that should have another.
-func (r *Router) contend() {
-	if r.stake != nil {
-		r.giveUpStake()
+// claimCells claims the cells that lack a holder, or that should have another.
+func (r *Router) claimCells() {
+	if r.claiming != nil {
+		r.expireClaim()
 		return
 	}
 	if r.Self.Slot == 0 || !r.leaving.IsZero() || r.now.Sub(r.started) < r.settleTime() {
@@ -75,7 +75,7 @@
 	}
 	var zones []string
 	for _, zone := range sortedKeys(r.cells) {
-		if r.wants(r.cells[zone]) {
+		if r.shouldClaim(r.cells[zone]) {
 			zones = append(zones, zone)
 		}
 	}
@@ -89,7 +89,7 @@
 // start as well, a moment to come first.
 func (r *Router) settleTime() time.Duration {
 	for _, c := range r.cells {
-		if c.claim.Token == 0 || r.awaited(c) {
+		if c.claim.Token == 0 || r.mayReturn(c) {
 			return r.Bounds.Settle
 		}
 	}
@@ -109,30 +109,30 @@
 	return false
 }
 
-// wants reports whether this host should claim a cell now.
-func (r *Router) wants(c *cell) bool {
-	if c.mine || r.now.Before(c.retry) || !c.absent.IsZero() && r.awaited(c) {
+// shouldClaim reports whether this host should claim a cell now.
+func (r *Router) shouldClaim(c *cell) bool {
+	if c.mine || r.now.Before(c.retry) || !c.absent.IsZero() && r.mayReturn(c) {
 		return false
 	}
 	list := r.candidates(c.zone)
 	rank := slices.IndexFunc(list, func(m Member) bool { return m.Address == r.Self.Address })
-	if rank < 0 || !r.informed() || !r.represents(c.zone) && !r.forsaken(c) {
+	if rank < 0 || !r.hasFreshView() || !r.hasMajority(c.zone) && !r.isOrphaned(c) {
 		return false
 	}
 	if !c.absent.IsZero() {
 		return r.now.Sub(c.absent) >= time.Duration(rank)*r.Bounds.Stagger
 	}
-	return r.merges(c, list)
+	return r.shouldMerge(c, list)
 }
 
-// informed reports whether this host has just heard from those of its cell that live, so
+// hasFreshView reports whether this host has just heard from those of its cell that live, so
 // that it can tell which side of a cut it is on.
-func (r *Router) informed() bool {
+func (r *Router) hasFreshView() bool {
 	if !r.meshed && !r.hub[r.Self.Address] {
 		return false
 	}
 	for _, p := range r.peers {
-		if r.related(p.member.Zone) && !p.near || p.near && p.met && !r.settled(p) && r.now.Sub(p.echoed) > r.Bounds.Silence {
+		if r.related(p.member.Zone) && !p.near || p.near && p.met && !r.isSettled(p) && r.now.Sub(p.echoed) > r.Bounds.Silence {
 			return false
 		}
 	}
@@ -143,13 +143,13 @@
 // so that a cell is worth moving.
 func weak(m, best Member) bool { return 2*m.Power < best.Power }
 
-// awaited reports whether the holder of a cell was heard of so lately that it may
+// mayReturn reports whether the holder of a cell was heard of so lately that it may
 // only not be in touch yet. One that is known to leave or to be dead is not
 // waited for.
-func (r *Router) awaited(c *cell) bool {
+func (r *Router) mayReturn(c *cell) bool {
 	h := c.claim.Holder
 	wait := r.Bounds.Silence
-	if c.learned.Sub(r.started) < r.Bounds.Settle && r.unheld() {
+	if c.learned.Sub(r.started) < r.Bounds.Settle && r.isHolderless() {
 		wait /= 4 // a living holder would have answered one of them by now
 	}
 	if r.now.Sub(c.learned) >= wait || r.isLeaving(h) || h.Address == r.Self.Address {
@@ -159,9 +159,9 @@
 	return p == nil || !p.met || p.member.Life <= h.Life
 }
 
-// unheld reports whether this host reaches others, none of which reaches a holder.
+// isHolderless reports whether this host reaches others, none of which reaches a holder.
 // All have started a moment ago, or the holder is dead.
-func (r *Router) unheld() bool {
+func (r *Router) isHolderless() bool {
 	alone := true
 	for _, p := range r.peers {
 		if p.near && r.reaches(p) {
@@ -174,10 +174,10 @@
 	return !alone
 }
 
-// merges reports whether this host takes a cell from its living holder: the one that
+// shouldMerge reports whether this host takes a cell from its living holder: the one that
 // holds the most cells unites them once both have been in touch for a while, so that
 // the fewest targets change hands.
-func (r *Router) merges(c *cell, list []Member) bool {
+func (r *Router) shouldMerge(c *cell, list []Member) bool {
 	first := list[0]
 	if !r.split {
 		at, most := -1, 0
@@ -217,15 +217,15 @@
 	return held
 }
 
-// forsaken reports whether a cell has lacked a holder for so long that no other
+// isOrphaned reports whether a cell has lacked a holder for so long that no other
 // host seems able to claim it. Then the store decides alone.
-func (r *Router) forsaken(c *cell) bool {
+func (r *Router) isOrphaned(c *cell) bool {
 	return !c.absent.IsZero() && r.now.Sub(c.absent) >= 3*r.Bounds.Silence
 }
 
-// represents reports whether this host is on the side of a cut that should
+// hasMajority reports whether this host is on the side of a cut that should
 // serve a zone: with most of the zone's hosts, or with most of all hosts.
-func (r *Router) represents(zone string) bool {
+func (r *Router) hasMajority(zone string) bool {
 	zoneAll, zoneIn, all, in := 0, 0, 1, 1
 	left, silent := 0, 0
 	if r.Self.Zone == zone {
@@ -268,7 +268,7 @@
 func (r *Router) claim(zones []string) {
 	r.generation++
 	token := r.token(r.generation)
-	r.stake = &stake{token: token, zones: zones, since: r.now}
+	r.claiming = &pendingClaim{token: token, zones: zones, since: r.now}
 	rows := make([]Stored, len(zones))
 	for i, zone := range zones {
 		c := r.cells[zone]
@@ -290,17 +290,17 @@
 
 // giveUpStake goes on without the store when it does not answer. Targets obey
 // the highest token, so two hosts that do so cannot both start tasks on one.
-func (r *Router) giveUpStake() {
-	age := r.now.Sub(r.stake.since)
-	if age < stakeTimeout || age < r.Bounds.Silence && r.wavers() {
+func (r *Router) expireClaim() {
+	age := r.now.Sub(r.claiming.since)
+	if age < claimTimeout || age < r.Bounds.Silence && r.hasStalePeer() {
 		return
 	}
-	r.claimed(Claimed{Token: r.stake.token, Result: Silent})
+	r.claimed(Claimed{Token: r.claiming.token, Result: Silent})
 }
 
-// wavers reports whether a peer has been heard of too long ago to tell whether it is
+// hasStalePeer reports whether a peer has been heard of too long ago to tell whether it is
 // on this host's side of a cut: two and a half heartbeats.
-func (r *Router) wavers() bool {
+func (r *Router) hasStalePeer() bool {
 	for _, p := range r.peers {
 		if p.near && r.reaches(p) && r.now.Sub(p.echoed) > r.Bounds.Silence/2 {
 			return true
@@ -321,16 +321,16 @@
 		if e.Result == Won && row.Claim.Token == c.claim.Token {
 			c.unwritten = false
 		}
-		if row.Claim.Token > c.claim.Token && (e.Result != Won || r.stake == nil || r.stake.token != e.Token) {
+		if row.Claim.Token > c.claim.Token && (e.Result != Won || r.claiming == nil || r.claiming.token != e.Token) {
 			news = true
 			r.learn(row.Claim)
 		}
 	}
-	if r.stake == nil || r.stake.token != e.Token {
+	if r.claiming == nil || r.claiming.token != e.Token {
 		return
 	}
-	s := r.stake
-	r.stake = nil
+	s := r.claiming
+	r.claiming = nil
 	r.emit(Decide{Action: "claimed", Pairs: []any{"token", s.token, "result", e.Result, "age", r.since(s.since)}})
 	if e.Result == Beaten && !news {
 		return // only the versions of the rows were not known; the next tick claims again
@@ -340,7 +340,7 @@
 		return
 	}
 	for _, zone := range s.zones {
-		if e.Result == Silent && !r.represents(zone) {
+		if e.Result == Silent && !r.hasMajority(zone) {
 			r.postpone([]string{zone})
 		} else if c := r.cells[zone]; c.claim.Token < s.token {
 			c.unwritten = e.Result == Silent
@@ -361,15 +361,15 @@
 	}
 }
 
-// inform writes claims to the store that were made while it was away, so that
+// publishClaims writes claims to the store that were made while it was away, so that
 // hosts that start anew go on from the highest token.
-func (r *Router) inform() {
+func (r *Router) publishClaims() {
 	for _, zone := range sortedKeys(r.cells) {
 		c := r.cells[zone]
-		if !c.mine || !c.unwritten || r.now.Sub(c.informed) < informEvery {
+		if !c.mine || !c.unwritten || r.now.Sub(c.published) < publishEvery {
 			continue
 		}
-		c.informed = r.now
+		c.published = r.now
 		r.emit(Stake{Token: c.claim.Token, Rows: []Stored{{Claim: c.claim, Version: c.row}}})
 	}
 }
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -79,7 +79,7 @@
 // TestClaimOfLargerSide: a host with most others goes on without the store.
 func TestClaimOfLargerSide(t *testing.T) {
 	b := newSides(t, "n2", "n3", "s1", "s2", "w1", "w2")
-	b.touch(b.router.Bounds.Silence+b.router.Bounds.Tick+stakeTimeout, "n2", "n3", "s2", "w1", "w2")
+	b.touch(b.router.Bounds.Silence+b.router.Bounds.Tick+claimTimeout, "n2", "n3", "s2", "w1", "w2")
 	b.touch(2*b.router.Bounds.Tick, "n2", "n3", "s2", "w1", "w2")
 	assert.Equal(t, []string{"north", "south", "west"}, b.held())
 }
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -66,9 +66,9 @@
 	return !r.returned.IsZero() && r.now.Sub(r.returned) <= r.Bounds.Absent
 }
 
-// hearDirectory takes the list that another host has read. One that comes from the
+// handleDirectory takes the list that another host has read. One that comes from the
 // other side of a cut may lack targets that are sound.
-func (r *Router) hearDirectory(p *peer, d Directory) {
+func (r *Router) handleDirectory(p *peer, d Directory) {
 	if len(d.Targets) < d.Total && p.member.Zone != r.Self.Zone {
 		return // it lacks the targets of this zone
 	}
@@ -109,7 +109,7 @@
 	r.emit(Decide{Action: "directory", Pairs: []any{
 		"version", d.Version, "total", d.total(), "targets", len(d.Targets), "before", len(r.directory.Targets), "source", source, "age", r.since(asked),
 	}})
-	r.vanish(d)
+	r.noteUnlisted(d)
 	r.directory = d
 	r.forgetWarm()
 	for _, entry := range d.Targets {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -56,8 +56,8 @@
 	run    *run
 	last   int // highest run number that was used
 	failed int
-	// shunned are targets where the task has failed.
-	shunned []string
+	// avoided are targets where the task has failed.
+	avoided []string
 	// notBefore and former keep the task waiting while an earlier run may go
 	// on: one at a target of another holder, one of the same job sent before.
 	notBefore time.Time
@@ -131,23 +131,23 @@
 	if v, refused := r.admit(j); refused {
 		v.Outcome = j.truthful(v.Outcome)
 		r.emit(Decide{Action: "refuse", Job: j.spec.ID, Pairs: r.inputs(j, "reason", v.Reason, "after", v.After.String())})
-		r.turnAway(j, v)
+		r.reject(j, v)
 		return
 	}
 	r.emit(Decide{Action: "admit", Job: j.spec.ID, Pairs: r.inputs(j), Routine: true})
 	r.measure(j, Accepted, j.arrived)
 	r.jobs[j.spec.ID] = j
 	if j.resent {
-		r.prove(j)
+		r.lookAtFormer(j)
 	}
-	r.recall(j)
+	r.matchListed(j)
 	r.settle(j)
 	r.dirty = true
 }
 
-// turnAway refuses a job. It is remembered, since a copy of its offer may still be on
+// reject refuses a job. It is remembered, since a copy of its offer may still be on
 // its way over a link that was replaced.
-func (r *Router) turnAway(j *job, v Verdict) {
+func (r *Router) reject(j *job, v Verdict) {
 	v.Stamp = j.stamp
 	j.over, j.verdict, j.since = true, v, r.now
 	r.jobs[j.spec.ID] = j
@@ -228,8 +228,8 @@
 	return j
 }
 
-// recall matches a job with what targets have listed of it under another holder.
-func (r *Router) recall(j *job) {
+// matchListed matches a job with what targets have listed of it under another holder.
+func (r *Router) matchListed(j *job) {
 	for _, t := range r.pool {
 		if len(t.finished) == 0 && len(t.orphan) == 0 {
 			continue
@@ -274,7 +274,7 @@
 		return
 	}
 	if k.run != nil {
-		r.surplus(k)
+		r.stopSurplus(k)
 	}
 	if !r.move(j, index, taskFinish) {
 		return
@@ -287,8 +287,8 @@
 	}
 }
 
-// surplus stops a run whose task is done by another.
-func (r *Router) surplus(k *task) {
+// stopSurplus stops a run whose task is done by another.
+func (r *Router) stopSurplus(k *task) {
 	n := k.run
 	k.run = nil
 	if n.target.runs[taskName(n.job.spec.ID, n.task)] == n {
@@ -405,9 +405,9 @@
 	return ""
 }
 
-// strand takes a task's run away whose target has another holder, and keeps the
+// detach takes a task's run away whose target has another holder, and keeps the
 // task from starting while the run may go on.
-func (r *Router) strand(j *job, index int, until time.Time) {
+func (r *Router) detach(j *job, index int, until time.Time) {
 	k := &j.tasks[index]
 	k.notBefore = until
 	if k.state != taskActive {
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -14,8 +14,8 @@
 	meanX, meanY float64 // declared and measured, logarithms of seconds
 	varX, covXY  float64
 	budgets      budgets
-	// strangers is by how many more of the last tasks were outliers than not.
-	strangers int
+	// outliers is by how many more of the last tasks were outliers than not.
+	outliers int
 }
 
 // Lesson is a history on its way to another host, so that a new holder does not
@@ -105,10 +105,10 @@
 	if h.count >= historyTrust {
 		off := y - math.Log(r.predict(&n.job.spec).Seconds())
 		if math.Abs(off) > outlier {
-			h.strange()
+			h.noteOutlier()
 			return
 		}
-		h.strangers = max(h.strangers-1, 0)
+		h.outliers = max(h.outliers-1, 0)
 		r.learnSpeed(kind, off)
 	}
 	h.take(math.Log(declared(&n.job.spec).Seconds()), y)
@@ -124,11 +124,11 @@
 	return h
 }
 
-// strange notes an outlier. When most tasks are, what was learned is wrong, and learning
+// noteOutlier notes an outlier. When most tasks are, what was learned is wrong, and learning
 // begins anew.
-func (h *history) strange() {
-	h.strangers++
-	if h.strangers > historyTrust {
+func (h *history) noteOutlier() {
+	h.outliers++
+	if h.outliers > historyTrust {
 		*h = history{budgets: h.budgets}
 	}
 }
@@ -226,8 +226,8 @@
 	r.emit(Keep{Lessons: lessons[:min(len(lessons), mostKept)], Speeds: speeds})
 }
 
-// recallLessons takes what earlier holders have written to the store.
-func (r *Router) recallLessons(e Recall) {
+// handleLessons takes what earlier holders have written to the store.
+func (r *Router) handleLessons(e Recall) {
 	for _, kept := range e.Kept {
 		if err := checkLessons(kept.Lessons, kept.Speeds); err != nil {
 			r.emit(Decide{Action: "ignore", Pairs: []any{"kind", "lessons", "error", err.Error()}})
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -197,7 +197,7 @@
 	r.emit(Retire{ID: t.ID})
 	r.look(t)
 	if result == Fenced {
-		r.repelled(t, t.token)
+		r.handleFence(t, t.token)
 	}
 }
 
@@ -209,7 +209,7 @@
 	r.unstarted(n)
 	switch result {
 	case Fenced:
-		r.repelled(t, t.token)
+		r.handleFence(t, t.token)
 	case Belated:
 		r.look(t)
 	case Crowded:
@@ -278,11 +278,11 @@
 // unstarted takes a run back that has not begun and never will.
 func (r *Router) unstarted(n *run) {
 	r.freed(n)
-	r.takeBack(n, false)
+	r.requeue(n, false)
 }
 
-// takeBack makes a task wait again after its run.
-func (r *Router) takeBack(n *run, failed bool) {
+// requeue makes a task wait again after its run.
+func (r *Router) requeue(n *run, failed bool) {
 	k := &n.job.tasks[n.task]
 	if k.run != n {
 		return
@@ -291,7 +291,7 @@
 	r.move(n.job, n.task, taskReturn)
 	if failed {
 		k.failed++
-		k.shunned = append(k.shunned, n.target.ID)
+		k.avoided = append(k.avoided, n.target.ID)
 	}
 	r.settle(n.job)
 }
@@ -311,7 +311,7 @@
 		r.taskDone(j, n.task)
 		return
 	}
-	r.takeBack(n, how == Broke)
+	r.requeue(n, how == Broke)
 }
 
 // judge counts for and against a target.
@@ -335,5 +335,5 @@
 	}
 }
 
-// shuns reports whether a target is shunned for a task.
-func (k *task) shuns(id string) bool { return slices.Contains(k.shunned, id) }
+// avoids reports whether a target is avoided for a task.
+func (k *task) avoids(id string) bool { return slices.Contains(k.avoided, id) }
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -47,14 +47,14 @@
 // silence returns how long a peer may be unheard. One that has only just become near
 // is given the time of an answer first.
 func (r *Router) silence(p *peer) time.Duration {
-	if p.near && r.settled(p) {
+	if p.near && r.isSettled(p) {
 		return r.Bounds.Silence
 	}
 	return r.farSilence()
 }
 
-// settled reports whether a near peer has had the time to answer.
-func (r *Router) settled(p *peer) bool { return r.now.Sub(p.nearSince) >= r.Bounds.Silence/2 }
+// isSettled reports whether a near peer has had the time to answer.
+func (r *Router) isSettled(p *peer) bool { return r.now.Sub(p.nearSince) >= r.Bounds.Silence/2 }
 
 // farSilence returns how long peers that are not near may be unheard.
 func (r *Router) farSilence() time.Duration {
@@ -64,8 +64,8 @@
 // forgetAfter returns when an unheard peer no longer counts as a member.
 func (r *Router) forgetAfter() time.Duration { return max(r.Bounds.Forget, r.farSilence()) }
 
-// presumed reports whether a peer may be alive as far as is known.
-func (r *Router) presumed(p *peer) bool {
+// isPresumedAlive reports whether a peer may be alive as far as is known.
+func (r *Router) isPresumedAlive(p *peer) bool {
 	return !p.leaving && !p.severed && p.member.Slot > 0 && (p.dead.IsZero() || r.now.Sub(p.dead) > deadFor)
 }
 
@@ -93,7 +93,7 @@
 		list = append(list, r.Self)
 	}
 	for _, p := range r.peers {
-		if r.presumed(p) && r.related(p.member.Zone) && !hubs[p.member.Address] {
+		if r.isPresumedAlive(p) && r.related(p.member.Zone) && !hubs[p.member.Address] {
 			list = append(list, p.member)
 		}
 	}
@@ -104,20 +104,20 @@
 	return hubs
 }
 
-// attend decides which peers are near.
-func (r *Router) attend() {
-	r.weigh()
+// updateNearPeers decides which peers are near.
+func (r *Router) updateNearPeers() {
+	r.updateSplit()
 	r.hub = r.hubs()
 	r.meshed = r.relatives() <= r.Bounds.Mesh
 	for _, p := range r.peers {
-		r.attendTo(p)
+		r.updateNear(p)
 	}
 }
 
-// attendTo decides whether a peer is near: it has asked to be, or one of the two holds
+// updateNear decides whether a peer is near: it has asked to be, or one of the two holds
 // the other's cell or would hold it next.
-func (r *Router) attendTo(p *peer) {
-	near := !p.asked.IsZero() && r.now.Sub(p.asked) < askFor || r.wantsNear(p)
+func (r *Router) updateNear(p *peer) {
+	near := !p.asked.IsZero() && r.now.Sub(p.asked) < askFor || r.needsHeartbeats(p)
 	if near && !p.near {
 		p.nearSince = r.now
 		r.dial(p)
@@ -125,8 +125,8 @@
 	p.near = near
 }
 
-// wantsNear reports whether this host needs a peer's heartbeats at the short period.
-func (r *Router) wantsNear(p *peer) bool {
+// needsHeartbeats reports whether this host needs a peer's heartbeats at the short period.
+func (r *Router) needsHeartbeats(p *peer) bool {
 	if c := r.cells[p.member.Zone]; c != nil && c.mine || r.hub[p.member.Address] {
 		return true
 	}
@@ -147,7 +147,7 @@
 // beatNow sends a heartbeat to every near peer.
 func (r *Router) beatNow() {
 	r.beaten = r.now
-	r.attend()
+	r.updateNearPeers()
 	b := r.heartbeat()
 	if r.holds() && r.now.Sub(r.taught) >= teachEvery {
 		r.taught = r.now
@@ -160,7 +160,7 @@
 		}
 		r.dial(p)
 		to := b
-		to.Echo, to.Near = p.sent, r.wantsNear(p)
+		to.Echo, to.Near = p.sent, r.needsHeartbeats(p)
 		if !p.claimed.After(r.reclaimed) || r.now.Sub(p.claimed) >= claimsEvery {
 			to.Claims, p.claimed = claims, r.now
 		} else {
@@ -200,7 +200,7 @@
 // beatTo sends a whole heartbeat to one peer.
 func (r *Router) beatTo(p *peer) {
 	b := r.heartbeat()
-	b.Echo, b.Claims, b.Near = p.sent, r.claims(), r.wantsNear(p)
+	b.Echo, b.Claims, b.Near = p.sent, r.claims(), r.needsHeartbeats(p)
 	p.claimed = r.now
 	r.send(p, Message{Beat: &b})
 }
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -62,7 +62,7 @@
 		r.relocate(n, ran)
 	case slow && r.uses(Stalling) && r.stalled(n, ran):
 	case percent >= telling && r.uses(Foresight):
-		r.foresee(n)
+		r.abandonHopeless(n)
 	}
 }
 
@@ -102,13 +102,13 @@
 	r.emit(Decide{Action: "move", Job: n.job.spec.ID, Task: taskName(n.job.spec.ID, n.task), Target: t.ID, Pairs: []any{
 		"percent", n.percent, "ran", ran.Round(time.Millisecond).String(), "expect", n.expect.Round(time.Millisecond).String(),
 	}})
-	n.job.tasks[n.task].shunned = append(n.job.tasks[n.task].shunned, t.ID)
+	n.job.tasks[n.task].avoided = append(n.job.tasks[n.task].avoided, t.ID)
 	r.halt(n)
 }
 
-// foresee gives a job up as soon as one of its runs shows that it cannot end in
+// abandonHopeless gives a job up as soon as one of its runs shows that it cannot end in
 // time.
-func (r *Router) foresee(n *run) {
+func (r *Router) abandonHopeless(n *run) {
 	j := n.job
 	least := seconds(n.total.Seconds() * (n.percent - 1) / n.percent) // the percents are rounded
 	end := n.sent.Add(least)
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -61,7 +61,7 @@
 	if q.holder == h.Address && q.token == c.claim.Token {
 		return
 	}
-	if r.doubts(h.Address) {
+	if r.isSuspect(h.Address) {
 		return
 	}
 	if q.holder != "" {
@@ -78,10 +78,10 @@
 	r.sendOffer(r.peers[h.Address], q)
 }
 
-// doubts reports whether a peer has been quiet for longer than a heartbeat and a half.
+// isSuspect reports whether a peer has been quiet for longer than a heartbeat and a half.
 // What is not offered to it meanwhile can go to the next holder at once, without
 // waiting for runs that may have begun.
-func (r *Router) doubts(address string) bool {
+func (r *Router) isSuspect(address string) bool {
 	p := r.peers[address]
 	return p != nil && r.now.Sub(p.heard) > r.Bounds.Beat*3/2 && r.uses(Doubting)
 }
@@ -90,8 +90,8 @@
 // holder is first told which targets that holder may have used: the list that it
 // has read itself may lack those of a zone that was cut off.
 func (r *Router) sendOffer(p *peer, q *request) {
-	if len(q.prior) > 0 && p.informed < q.token {
-		p.informed = q.token
+	if len(q.prior) > 0 && p.toldFormer < q.token {
+		p.toldFormer = q.token
 		r.send(p, Message{Former: r.sightings(q.prior)})
 	}
 	r.send(p, Message{Offer: r.offerOf(q)})
@@ -199,11 +199,11 @@
 // overtake ends a request that an earlier holder has completed after all.
 func (r *Router) overtake(q *request, v Verdict) {
 	r.answer(q, v)
-	r.takeBackFrom(q.holder, q.job.ID)
+	r.withdrawFrom(q.holder, q.job.ID)
 }
 
-// takeBackFrom withdraws a job from a holder, or from none for "".
-func (r *Router) takeBackFrom(holder, id string) {
+// withdrawFrom withdraws a job from a holder, or from none for "".
+func (r *Router) withdrawFrom(holder, id string) {
 	if holder == r.Self.Address {
 		r.withdrawn(nil, id)
 	} else if p := r.peers[holder]; p != nil {
@@ -251,7 +251,7 @@
 
 // withdraw takes a request back from its holder and ends it.
 func (r *Router) withdraw(q *request) {
-	r.takeBackFrom(q.holder, q.job.ID)
+	r.withdrawFrom(q.holder, q.job.ID)
 	if r.requests[q.job.ID] == q {
 		r.answer(q, Verdict{ID: q.job.ID, Outcome: Failed, Reason: Withdrawn})
 	}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -43,7 +43,7 @@
 	toldDirectory uint64
 	toldTargets   time.Time
 	claimed       time.Time // when it was last sent the claims
-	informed      uint64    // token of the claim under which it was told of former targets
+	toldFormer    uint64    // token of the claim under which it was told of former targets
 }
 
 // reaches reports whether messages pass both ways: a time of this host's clock
@@ -68,8 +68,8 @@
 
 func (r *Router) send(p *peer, m Message) { r.emit(Send{To: p.member.Address, Message: m}) }
 
-// meet makes sure that a member is known. It is dialled once a heartbeat is due.
-func (r *Router) meet(m Member) *peer {
+// addPeer makes sure that a member is known. It is dialled once a heartbeat is due.
+func (r *Router) addPeer(m Member) *peer {
 	if m.Address == r.Self.Address || m.Address == "" {
 		return nil
 	}
@@ -77,7 +77,7 @@
 	if p == nil {
 		p = &peer{member: m, heard: r.now}
 		r.peers[m.Address] = p
-		r.attendTo(p)
+		r.updateNear(p)
 	}
 	return p
 }
@@ -98,7 +98,7 @@
 	}
 	p := r.peers[e.From]
 	if b := e.Message.Beat; b != nil {
-		r.hear(p, b)
+		r.handleHeartbeat(p, b)
 		return
 	}
 	if p == nil {
@@ -116,15 +116,15 @@
 	case m.Config != nil:
 		r.adopt(m.Config, "peer")
 	case m.Directory != nil:
-		r.hearDirectory(p, *m.Directory)
+		r.handleDirectory(p, *m.Directory)
 	case m.Former != nil:
-		r.recallTargets(m.Former)
+		r.handleFormer(m.Former)
 	}
 }
 
-// hear takes a heartbeat. A brief one, without the sender's name and address, only
+// handleHeartbeat takes a heartbeat. A brief one, without the sender's name and address, only
 // says something of the process that the sender is known by.
-func (r *Router) hear(p *peer, b *Beat) {
+func (r *Router) handleHeartbeat(p *peer, b *Beat) {
 	if b.Member.Address != "" {
 		p = r.identify(b.Member)
 	} else if p != nil && b.Member.Life != p.member.Life {
@@ -137,7 +137,7 @@
 	if b.Near {
 		p.asked = r.now
 	}
-	r.attendTo(p)
+	r.updateNear(p)
 	p.sent = max(p.sent, b.Sent)
 	if echo := time.Unix(0, b.Echo); b.Echo != 0 && echo.After(p.echoed) && !echo.Before(r.started) && !echo.After(r.now) {
 		p.echoed = echo
@@ -162,7 +162,7 @@
 
 // identify returns the peer that a heartbeat names, or nil for one of an earlier process.
 func (r *Router) identify(m Member) *peer {
-	p := r.meet(m)
+	p := r.addPeer(m)
 	if p == nil || m.Life < p.member.Life {
 		return nil
 	}
@@ -244,7 +244,7 @@
 				"peer", p.member.Name, "state", "silent", "age", r.now.Sub(p.echoed).String(), "bound", r.silence(p).String(),
 			}})
 		}
-		if p.near && p.dead.IsZero() && r.settled(p) && !r.reaches(p) {
+		if p.near && p.dead.IsZero() && r.isSettled(p) && !r.reaches(p) {
 			p.dead = r.now
 		}
 		if p.met && p.near && r.now.Sub(p.echoed) > r.Bounds.Silence*3/4 && r.now.Sub(p.redialled) > r.Bounds.Silence {
@@ -266,12 +266,12 @@
 func (r *Router) linked(address string) {
 	p := r.peers[address]
 	if p == nil {
-		p = r.meet(Member{Address: address})
+		p = r.addPeer(Member{Address: address})
 	}
 	if p == nil {
 		return
 	}
-	p.dialled, p.informed = true, 0
+	p.dialled, p.toldFormer = true, 0
 	r.beatTo(p)
 	for _, id := range sortedKeys(r.requests) {
 		if q := r.requests[id]; q.holder == address {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -11,7 +11,7 @@
 	if a.begun != b.begun {
 		return a.begun
 	}
-	return sooner(a, b)
+	return startsEarlier(a, b)
 }
 
 // precedes reports whether a is placed before b: jobs that are late already come
@@ -32,9 +32,9 @@
 // isLate reports whether a job can hardly be answered within its objective.
 func (r *Router) isLate(j *job) bool { return j.waited || r.now.After(j.latest) }
 
-// sooner orders the queue by when jobs must start. The order of two jobs never
+// startsEarlier orders the queue by when jobs must start. The order of two jobs never
 // changes.
-func sooner(a, b *job) bool {
+func startsEarlier(a, b *job) bool {
 	if !a.latest.Equal(b.latest) {
 		return a.latest.Before(b.latest)
 	}
@@ -81,7 +81,7 @@
 		}
 		t := r.choose(j, k)
 		if t == nil {
-			return len(k.shunned) > 0 || r.confined(j)
+			return len(k.avoided) > 0 || r.isConfined(j)
 		}
 		r.start(j, i, t)
 	}
@@ -93,14 +93,14 @@
 // takes no room from the jobs behind it.
 func (r *Router) quarantined(j *job) bool {
 	c := r.cells[r.zoneOf(j.origin)]
-	return c == nil || !c.mine || j.resent && !r.clear(j)
+	return c == nil || !c.mine || j.resent && !r.isCleared(j)
 }
 
-// clear reports whether no run of an earlier holder can start or go on unseen:
+// isCleared reports whether no run of an earlier holder can start or go on unseen:
 // all targets of its zones have obeyed this host since the job came, or the time for
 // it has passed. That they did before says nothing: an earlier holder may have had
 // them in between, under a claim that is not known here yet.
-func (r *Router) clear(j *job) bool {
+func (r *Router) isCleared(j *job) bool {
 	if r.now.After(j.cleared) {
 		return true
 	}
@@ -126,23 +126,23 @@
 	return true
 }
 
-// late reports whether a cell was taken after a job came. The host of the job does not
+// isTakenAfter reports whether a cell was taken after a job came. The host of the job does not
 // count it among those that an earlier holder may have used.
-func (c *cell) late(j *job) bool { return c.acquired.After(j.offered) }
+func (c *cell) isTakenAfter(j *job) bool { return c.acquired.After(j.offered) }
 
-// confined reports whether a job may not use all cells that this host holds.
-func (r *Router) confined(j *job) bool {
+// isConfined reports whether a job may not use all cells that this host holds.
+func (r *Router) isConfined(j *job) bool {
 	for _, c := range r.cells {
-		if c.mine && c.late(j) {
+		if c.mine && c.isTakenAfter(j) {
 			return true
 		}
 	}
 	return false
 }
 
-// prove asks the targets that an earlier holder of a job may have used whether they
+// lookAtFormer asks the targets that an earlier holder of a job may have used whether they
 // obey this host.
-func (r *Router) prove(j *job) {
+func (r *Router) lookAtFormer(j *job) {
 	for _, t := range r.pool {
 		if t.fresh.Before(j.offered) && slices.Contains(j.zones, t.Zone) {
 			r.look(t)
@@ -159,7 +159,7 @@
 		if t.Service != j.spec.Service || !t.Room.Less(t.used).Fits(j.spec.Need) || !t.has(j.spec.Label) {
 			continue
 		}
-		if k.shuns(t.ID) || !r.usable(t) || r.crowds(j, t) || r.cells[t.Zone].late(j) {
+		if k.avoids(t.ID) || !r.usable(t) || r.crowds(j, t) || r.cells[t.Zone].isTakenAfter(j) {
 			continue
 		}
 		left := t.Room.Less(t.used)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,7 +51,7 @@
 	beatenFar  time.Time        // last heartbeat sent to a peer that is not near
 	reclaimed  time.Time        // when a claim last changed
 	cells      map[string]*cell // by zone
-	stake      *stake           // the claim under way
+	claiming   *pendingClaim    // the claim under way
 
 	open     map[uint64]*request
 	requests map[string]*request // by job
@@ -108,7 +108,7 @@
 	r.speeds = make(map[string]*Speed)
 	r.works = make(map[string]float64)
 	r.shares = make(map[string]*share)
-	r.queue.Less = sooner
+	r.queue.Less = startsEarlier
 	r.cell(r.Self.Zone)
 	if len(r.Seeds) > 0 {
 		r.emit(Dial{Addresses: r.Seeds})
@@ -132,7 +132,7 @@
 	case Enrol:
 		r.enrol(e)
 	case Recall:
-		r.recallLessons(e)
+		r.handleLessons(e)
 	case Claimed:
 		r.claimed(e)
 	case Began:
@@ -170,9 +170,9 @@
 func (r *Router) tick() {
 	r.watchPeers()
 	r.beat()
-	r.follow()
-	r.contend()
-	r.inform()
+	r.trackHolders()
+	r.claimCells()
+	r.publishClaims()
 	r.refresh()
 	r.standBy()
 	r.watchTargets()
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -18,8 +18,8 @@
 	// take within its share, as of granted.
 	credit  float64
 	granted time.Time
-	// pressed is when the spell of overload began in which the last refusal fell.
-	pressed, refused time.Time
+	// overloaded is when the spell of overload began in which the last refusal fell.
+	overloaded, refused time.Time
 }
 
 const (
@@ -62,10 +62,10 @@
 // as long as it has been, as nothing else is known.
 func (s *share) refuse(now time.Time) time.Duration {
 	if s.refused.IsZero() || now.Sub(s.refused) > spellGap {
-		s.pressed = now
+		s.overloaded = now
 	}
 	s.refused = now
-	return min(now.Sub(s.pressed), longestSpell)
+	return min(now.Sub(s.overloaded), longestSpell)
 }
 
 // work returns what a job's waiting tasks take, in thousandths of a core times
--- a/internal/router/sighting.go
+++ b/internal/router/sighting.go
@@ -17,8 +17,8 @@
 // and a lease.
 const sightingKeep = 3 * time.Second
 
-// vanish notes the targets of the list in force that a new one lacks.
-func (r *Router) vanish(d Directory) {
+// noteUnlisted notes the targets of the list in force that a new one lacks.
+func (r *Router) noteUnlisted(d Directory) {
 	listed := make(map[string]bool, len(d.Targets))
 	for _, t := range d.Targets {
 		listed[t.ID] = true
@@ -39,9 +39,9 @@
 	return slices.DeleteFunc(list, func(t Target) bool { return !slices.Contains(zones, t.Zone) })
 }
 
-// recallTargets takes the list of another host. Targets of held cells are asked
+// handleFormer takes the list of another host. Targets of held cells are asked
 // what runs there, also those that this host's own list lacks.
-func (r *Router) recallTargets(targets []Target) {
+func (r *Router) handleFormer(targets []Target) {
 	for _, t := range targets {
 		r.former[t.ID] = &sighting{target: t, told: r.now}
 	}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -185,7 +185,7 @@
 	gone := r.now.Add(r.Bounds.Lease + r.Bounds.Orphan + 2*r.Bounds.Stop)
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
-		r.strand(n.job, n.task, gone)
+		r.detach(n.job, n.task, gone)
 		delete(t.runs, name)
 	}
 	r.drop(t)
@@ -294,7 +294,7 @@
 	case Running:
 		r.listing(t, e)
 	case Fenced:
-		r.repelled(t, e.Token)
+		r.handleFence(t, e.Token)
 		return
 	case Replaced:
 		r.replaced(t)
@@ -361,7 +361,7 @@
 			r.look(t)
 		}
 		r.watchRuns(t)
-		r.chase(t)
+		r.retryStops(t)
 		r.clearOrphans(t)
 	}
 }
@@ -376,8 +376,8 @@
 	r.emit(Retire{ID: t.ID})
 }
 
-// chase repeats orders that have had no effect yet.
-func (r *Router) chase(t *target) {
+// retryStops repeats orders that have had no effect yet.
+func (r *Router) retryStops(t *target) {
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
 		if (n.state == runStopping || n.state == runDoubtful) && r.now.Sub(n.stopAt) >= stopRetry {
