--- a/internal/router/drag.go
+++ b/internal/router/drag.go
@@ -23,6 +23,8 @@
 	// farTotal is how many times as long as expected a run takes that is known to be slow
 	// although its progress has hardly begun.
 	farTotal = 5
+	// slowFor is how long a slow target is left out before a trial.
+	slowFor = 1200 * time.Millisecond
 	// mostBarred is the part of a service's targets that may be left out for their pace.
 	// Where more are slow, it is not the targets that differ from what is expected.
 	mostBarred = 1.0 / 3
@@ -44,7 +46,7 @@
 		return
 	}
 	t.drag = 0
-	r.bar(t, stallFor, "slow")
+	r.bar(t, slowFor, "slow")
 }
 
 // leastTotal returns the time that a run takes in all, at least, after it has run for so
@@ -53,6 +55,15 @@
 	return seconds(ran.Seconds() * hundred / (n.percent + 1))
 }
 
+// paceOfRunning takes how far a run has come, once that is telling. A run that has hardly
+// begun counts where targets are known to tell any progress at all.
+func (r *Router) paceOfRunning(n *run, ran time.Duration) {
+	total := n.leastTotal(ran)
+	if n.percent >= telling || r.progressive && total > farTotal*n.expect {
+		r.pace(n, total)
+	}
+}
+
 // paceOfDone takes how long a run took until its end was seen here. A host that lacks
 // processor time sees ends late, so this speaks for a target only, not against it.
 func (r *Router) paceOfDone(n *run, total time.Duration) {
@@ -79,9 +90,19 @@
 	return float64(barred+1) <= mostBarred*float64(all)
 }
 
+// isStuck reports whether a run is slow at a slow target, or stands still after the time
+// that it should have taken in all.
+func (r *Router) isStuck(n *run, ran time.Duration) bool {
+	if n.slow && r.now.Before(n.target.barred) {
+		return true
+	}
+	return r.progressive && n.percent < telling && ran > n.expect+r.Bounds.Stop
+}
+
 // isSoonerElsewhere reports whether a run would end much sooner if it were stopped and its
-// task started anew at a sound target.
+// task started anew at a sound target, and in time there.
 func (r *Router) isSoonerElsewhere(n *run, ran time.Duration) bool {
 	const clearly = 2 // work is thrown away, and there may be no room
-	return n.leastTotal(ran)-ran > clearly*(r.Bounds.Stop+n.job.expect)
+	elsewhere := r.Bounds.Stop + n.job.expect
+	return n.leastTotal(ran)-ran > clearly*elsewhere && !r.now.Add(elsewhere).After(n.job.deadline)
 }
--- a/internal/router/drag_test.go
+++ b/internal/router/drag_test.go
@@ -49,7 +49,7 @@
 	b.now = p.barred.Add(time.Millisecond)
 	b.step(Tick{})
 	b.ranFor("p", 2.5, 1)
-	assert.Equal(t, 2*stallFor, p.barred.Sub(b.now))
+	assert.Equal(t, 2*slowFor, p.barred.Sub(b.now))
 }
 
 // TestFewTargetsAreLeftOut: where most targets seem slow, what is expected is wrong.
@@ -80,3 +80,16 @@
 	}
 	assert.False(t, b.now.Before(p.barred))
 }
+
+// TestNoProgress: a run that stands still tells at once that its target is slow, unless
+// targets do not tell any progress.
+func TestNoProgress(t *testing.T) {
+	for _, progressive := range []bool{false, true} {
+		b := paceBed(t, 4)
+		b.router.progressive = progressive
+		for range 2 {
+			b.router.paceOfRunning(&run{job: &job{spec: pair("j")}, target: b.router.targets["p"], expect: 100 * time.Millisecond}, 60*time.Millisecond)
+		}
+		assert.Equal(t, progressive, b.now.Before(b.router.targets["p"].barred))
+	}
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -112,7 +112,7 @@
 		return false
 	}
 	k := &j.tasks[index]
-	n := &run{job: j, task: index, number: live.Run, target: t, need: j.spec.Need, state: runRunning, sent: r.now, settled: r.now, clock: t.listing, expect: r.expectAt(j, t), adopted: true, counted: true}
+	n := &run{job: j, task: index, number: live.Run, target: t, need: j.spec.Need, state: runRunning, sent: r.now, settled: r.now, clock: t.listing, expect: r.expectAt(j, t), adopted: true}
 	n.lookAt = n.due(r.now, firstLook)
 	r.move(j, index, taskStart)
 	k.run, k.last, j.begun = n, max(k.last, live.Run), true
@@ -322,10 +322,7 @@
 		r.paceOfDone(n, r.now.Sub(n.sent))
 		t.failures = 0
 		if !n.slow {
-			t.trial = false
-		}
-		if !n.counted && !n.slow {
-			t.strikes, t.stalls = 0, 0
+			t.trial, t.strikes = false, 0
 		}
 	case Broke:
 		t.failures++
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -11,17 +11,6 @@
 	// telling is the least progress, in percent, that tells the run time: it is
 	// rounded to whole percents.
 	telling = 8
-	// stallFactor is how many times slower than expected a run may be before
-	// its target counts as stalled; estimates are off by a factor of two in one
-	// of a hundred runs.
-	stallFactor = 3
-	// stallSlack is the least time that a run gets before it counts as stalled: a
-	// pause of a target with a processor quota.
-	stallSlack = 120 * time.Millisecond
-	// stallsToBar is how many stalled runs in a row leave a target out.
-	stallsToBar = 2
-	// stallFor is how long a stalled target is left out before a trial.
-	stallFor = 1200 * time.Millisecond
 )
 
 // due returns when a run's progress is to be looked at after now.
@@ -53,14 +42,13 @@
 	if percent >= telling {
 		n.total = seconds(ran.Seconds() * hundred / percent)
 	}
-	if total := n.leastTotal(ran); ran >= tellingRun && (percent >= telling || total > farTotal*n.expect) {
-		r.pace(n, total)
+	r.progressive = r.progressive || percent > 0
+	if ran >= tellingRun && n.clock > 0 {
+		r.paceOfRunning(n, ran)
 	}
-	slow := float64(ran) > float64(n.expect)*stallFactor*max(percent, 1)/hundred+float64(stallSlack)
 	switch {
-	case n.slow && r.now.Before(n.target.barred) && r.isSoonerElsewhere(n, ran):
+	case r.isStuck(n, ran) && r.isSoonerElsewhere(n, ran):
 		r.relocate(n, ran)
-	case slow && r.uses(Stalling) && r.stalled(n, ran):
 	case percent >= telling && r.uses(Foresight):
 		r.abandonHopeless(n)
 	}
@@ -77,25 +65,6 @@
 	return time.Duration(n.target.listing-n.clock) * time.Millisecond
 }
 
-// stalled takes a run that is far behind. It is stopped and started elsewhere if
-// it can still be in time there; it reports whether the run was stopped.
-func (r *Router) stalled(n *run, ran time.Duration) bool {
-	t := n.target
-	if !n.counted {
-		n.counted = true
-		t.stalls++
-		if t.stalls >= stallsToBar || t.trial {
-			r.bar(t, stallFor, "stalled")
-		}
-	}
-	again := r.now.Add(r.Bounds.Stop + n.job.expect)
-	if again.After(n.job.deadline) || n.percent > hundred/2 {
-		return false
-	}
-	r.relocate(n, ran)
-	return true
-}
-
 // relocate stops a run so that its task starts at another target.
 func (r *Router) relocate(n *run, ran time.Duration) {
 	t := n.target
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -29,8 +29,6 @@
 	KindSpeeds Mechanism = "speeds"
 	// Pacing leaves targets out on which runs take longer than expected.
 	Pacing Mechanism = "pace"
-	// Stalling moves runs that are far behind, and leaves their targets out.
-	Stalling Mechanism = "stalls"
 	// Failing leaves targets out on which runs fail.
 	Failing Mechanism = "failures"
 	// Foresight gives jobs up once a run shows that they cannot end in time.
@@ -46,7 +44,7 @@
 // Mechanisms returns all parts that can be switched off.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeights, Spells, OwnZone, FastTargets, RunTimes, KindSpeeds, Pacing, Stalling, Failing, Foresight, Repeating, Doubting, Standby,
+		WorkWeights, Spells, OwnZone, FastTargets, RunTimes, KindSpeeds, Pacing, Failing, Foresight, Repeating, Doubting, Standby,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,6 +70,8 @@
 	kept    time.Time           // when it was last written to the store
 	dirty   bool                // something may be placed
 	busy    float64             // load of the usable targets
+	// progressive tells that targets tell the progress of runs.
+	progressive bool
 
 	lost    map[string]time.Time // when the jobs of a lost cell are dropped, by zone
 	leaving time.Time            // when the shutdown began
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -37,7 +37,6 @@
 	// failures counts jobs in a row that failed here; a target that fails all
 	// is left out until a trial succeeds.
 	failures int
-	stalls   int       // runs far behind in a row
 	drag     float64   // how much longer runs take lately than allowed, see pace
 	strikes  int       // times in a row that it was left out
 	barred   time.Time // no starts before
@@ -65,13 +64,11 @@
 	settled time.Time
 	stopAt  time.Time // when the last Stop left
 	// expect is the expected run time here; lookAt is when progress is due;
-	// percent and total are what progress has shown; counted tells that the run
-	// has counted as stalled.
+	// percent and total are what progress has shown.
 	expect  time.Duration
 	lookAt  time.Time
 	percent float64
 	total   time.Duration
-	counted bool
 	// paced tells that the run's pace has been taken, and slow that it was too slow.
 	paced, slow bool
 }
