--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -17,8 +17,7 @@
 	lateFactor = 3
 	// packing is the part of the targets' processors that a job can count on
 	// for the work before it: jobs that come later and must start sooner take
-	// their part as well. The model has the best worth at 1.1 to 2.2 times the
-	// usual load with it.
+	// their part as well.
 	packing = 0.4
 	// ownPacking is the part that tasks of like size can fill.
 	ownPacking = 0.8
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -183,9 +183,8 @@
 	// another zone does not take them. It outweighs the room that is left at a
 	// target, and a difference in speed of 40 %.
 	awayPenalty = 40_000
-	// roomy is the load up to which awayPenalty counts: beyond, packing all zones
-	// as one pool serves more (model, at 2.2 times the usual load: 0.593, and 0.582
-	// with the penalty).
+	// roomy is the load up to which awayPenalty counts: beyond, all zones are packed
+	// as one pool.
 	roomy = 0.8
 	// scarce is the load from which fast targets are kept for those tasks: with
 	// a third of the targets being slow, they are full at two thirds.
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -26,18 +26,16 @@
 	// shareWindow is the time over which the work asked for is averaged: some ten
 	// jobs of the rarest usual route.
 	shareWindow = 1500 * time.Millisecond
-	// shareBurst is the time for which a route may save up its share. In the model
-	// a flood takes less from others with it than with 0.5 s.
+	// shareBurst is the time for which a route may save up its share: a few jobs of the
+	// rarest usual route.
 	shareBurst = 250 * time.Millisecond
-	// shareFill is the part of the targets' processors that tasks can fill. The model
-	// is worth 0.887 at 1.43 times the usual load with it, 0.884 with 0.8.
+	// shareFill is the part of the targets' processors that tasks can fill.
 	shareFill = 0.9
-	// spellGap is the time without a refusal that ends a spell of overload: nine of ten
-	// refusals of the busiest route are closer, 0.41 s at 1.1 times the usual load and
-	// 0.04 to 0.21 s above (model).
+	// spellGap is the time without a refusal that ends a spell of overload: refusals of
+	// the busiest route are closer in one.
 	spellGap = 500 * time.Millisecond
-	// longestSpell bounds how much longer a spell of overload is expected to last: the
-	// model serves the most of those that come back with it, of 0, 1 and 3 s.
+	// longestSpell bounds how much longer a spell of overload is expected to last, to
+	// about what a client waits for an answer.
 	longestSpell = time.Second
 )
 
