--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -311,40 +311,26 @@
 
 // claimed ends a claim.
 func (r *Router) claimed(e Claimed) {
-	news := false
-	for _, row := range e.Rows {
-		c := r.cell(row.Claim.Zone)
-		if e.Result == Beaten {
-			c.row = row.Version // as the store has it, whatever heartbeats have told
-		}
-		c.row = max(c.row, row.Version)
-		if e.Result == Won && row.Claim.Token == c.claim.Token {
-			c.unwritten = false
-		}
-		if row.Claim.Token > c.claim.Token && (e.Result != Won || r.claiming == nil || r.claiming.token != e.Token) {
-			news = true
-			r.learn(row.Claim)
-		}
-	}
-	if r.claiming == nil || r.claiming.token != e.Token {
+	news := r.learnRows(e)
+	p := r.claiming
+	if p == nil || p.token != e.Token {
 		return
 	}
-	s := r.claiming
 	r.claiming = nil
-	r.emit(Decide{Action: "claimed", Pairs: []any{"token", s.token, "result", e.Result, "age", r.since(s.since)}})
-	if e.Result == Beaten && !news {
-		return // only the versions of the rows were not known; the next tick claims again
-	}
-	if e.Result == Beaten {
-		r.postpone(s.zones)
+	r.emit(Decide{Action: "claimed", Pairs: []any{"token", p.token, "result", e.Result, "age", r.since(p.since)}})
+	switch {
+	case e.Result == Beaten && news:
+		r.postpone(p.zones)
 		return
+	case e.Result == Beaten:
+		return // only the versions of the rows were not known; the next tick claims again
 	}
-	for _, zone := range s.zones {
+	for _, zone := range p.zones {
 		if e.Result == Silent && !r.hasMajority(zone) {
 			r.postpone([]string{zone})
-		} else if c := r.cells[zone]; c.claim.Token < s.token {
+		} else if c := r.cells[zone]; c.claim.Token < p.token {
 			c.unwritten = e.Result == Silent
-			r.acquire(c, s.token)
+			r.acquire(c, p.token)
 		}
 	}
 	r.beatNow()
@@ -352,6 +338,27 @@
 	r.emit(Read{})
 }
 
+// learnRows takes what the store has of claims, and reports whether that is newer than
+// what was known.
+func (r *Router) learnRows(e Claimed) (news bool) {
+	awaited := r.claiming != nil && r.claiming.token == e.Token
+	for _, row := range e.Rows {
+		c := r.cell(row.Claim.Zone)
+		if e.Result == Beaten {
+			c.row = row.Version // as the store has it, whatever heartbeats have told
+		}
+		c.row = max(c.row, row.Version)
+		if e.Result == Won && row.Claim.Token == c.claim.Token {
+			c.unwritten = false
+		}
+		if row.Claim.Token > c.claim.Token && (e.Result != Won || !awaited) {
+			news = true
+			r.learn(row.Claim)
+		}
+	}
+	return news
+}
+
 // postpone keeps this host from claiming the cells for a while.
 func (r *Router) postpone(zones []string) {
 	for _, zone := range zones {
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -167,7 +167,7 @@
 		if n.job.over || n.job.tasks[n.task].run != n {
 			r.halt(n)
 		}
-	case e.Result == Doubtful && !n.repeated && !n.job.over && r.uses(Repeating):
+	case e.Result == Doubtful && r.isRepeatable(n):
 		r.repeat(n)
 	case e.Result == Doubtful || n.repeated:
 		r.doubt(n, e.Result)
@@ -179,6 +179,11 @@
 	r.dirty = true
 }
 
+// isRepeatable reports whether a start that was not answered is ordered once more.
+func (r *Router) isRepeatable(n *run) bool {
+	return !n.repeated && !n.job.over && r.uses(Repeating)
+}
+
 // repeat orders a start once more that was not answered. The target takes a run
 // once only, so a lost answer costs no time.
 func (r *Router) repeat(n *run) {
