router: short budgets tell of earlier tries only after a host was lost

A client in a hurry gives a short budget as well, and would have come last under overload at any time (TestClientsInAHurry, failed first). So it counts for 4 s after the host itself has started or another was lost.

--- a/internal/router/budget.go
+++ b/internal/router/budget.go
@@ -20,6 +20,9 @@
 	// unusual is how many standard deviations below the mean a budget is that the client
 	// must have used in part: one in forty is by chance.
 	unusual = 2
+	// retrySpan is how long after the loss of a host clients may try again: the time after
+	// which it is noticed, that after which they do so, and a second try.
+	retrySpan = 4 * time.Second
 	// leastWait bounds what counts as time used: less does not come from an earlier try.
 	leastWait = 500 * time.Millisecond
 )
@@ -48,8 +51,9 @@
 }
 
 // hasWaited takes the time budget of a new job and reports whether its client has waited
-// before: a client that tries again gives what is left of its time. When all hosts were
-// lost at once, such jobs come together with new ones, and nothing else tells them apart.
+// before: a client that tries again gives what is left of its time. When hosts were lost at
+// once, such jobs come together with new ones, and nothing else tells them apart. At other
+// times a short budget only tells that a client is in a hurry.
 func (r *Router) hasWaited(j *job) bool {
 	if r.Policy.Retries == AsNew {
 		return false
@@ -58,5 +62,5 @@
 	budget := j.deadline.Sub(j.arrived)
 	short := b.isShort(budget)
 	b.take(budget)
-	return short
+	return short && r.now.Sub(later(r.started, r.lossSeen)) < retrySpan
 }
--- a/internal/router/budget_test.go
+++ b/internal/router/budget_test.go
@@ -53,3 +53,20 @@
 	b.step(Submit{Request: 3, Job: pair("new"), Budget: 2 * time.Second})
 	assert.True(t, b.router.precedes(b.router.jobs["new"], b.router.jobs["again"]))
 }
+
+// TestClientsInAHurry: while no host was lost, a short budget is no sign of an earlier try.
+func TestClientsInAHurry(t *testing.T) {
+	b := newHolderBed(t, 1, Won)
+	known := *budgetsOf(2*time.Second, 100*time.Millisecond)
+	submit := func(id string) bool {
+		b.router.historyOf("r").budgets = known
+		b.step(Submit{Request: uint64(len(b.router.jobs) + 1), Job: pair(id), Budget: 700 * time.Millisecond})
+		return b.router.jobs[id].waited
+	}
+	assert.True(t, submit("young"), "the host itself has just started")
+	b.now = b.now.Add(retrySpan)
+	assert.False(t, submit("hurry"))
+	b.neighbour("10.0.0.9:1")
+	b.step(Severed{Address: "10.0.0.9:1"})
+	assert.True(t, submit("again"))
+}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -167,6 +167,7 @@
 		return nil
 	}
 	if m.Life > p.member.Life && p.met {
+		r.lossSeen = r.now
 		r.emit(Decide{Action: "peer", Pairs: []any{"peer", m.Name, "state", "restarted"}})
 		r.dropOrigin(p.member.Address)
 		*p = peer{heard: r.now, dialled: p.dialled}
@@ -240,6 +241,7 @@
 	for _, p := range r.sortedPeers() {
 		if !p.since.IsZero() && !r.reaches(p) {
 			p.since, p.dead = time.Time{}, r.now
+			r.lossSeen = r.now
 			r.emit(Decide{Action: "peer", Pairs: []any{
 				"peer", p.member.Name, "state", "silent", "age", r.now.Sub(p.echoed).String(), "bound", r.silence(p).String(),
 			}})
@@ -294,7 +296,7 @@
 	p.severed = true
 	if r.reaches(p) {
 		p.echoed = p.echoed.Add(-r.silence(p))
-		p.since = time.Time{}
+		p.since, r.lossSeen = time.Time{}, r.now
 		r.emit(Decide{Action: "peer", Pairs: []any{"peer", p.member.Name, "state", "gone"}})
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -44,6 +44,7 @@
 	link       int              // best known link of a host
 	total      int              // targets in the newest list that was heard of
 	counted    uint64           // version of that list
+	lossSeen   time.Time        // when a host was last found to be lost
 	split      bool             // each zone has a holder of its own
 	hub        map[string]bool  // hosts that all others of the cells are near to, by address
 	meshed     bool             // all hosts of the cells are near to each other
