shallotrouter: tests wait until a stopped process has stopped

By the daemon's log the home took and placed the job after SIGSTOP was sent and before it stopped, so that after the thaw it refused the job truthfully (paused), and the client waited for a completion in vain. The state of all threads is waited for; the checks are as they were.

--- a/cmd/shallotrouter/process_test.go
+++ b/cmd/shallotrouter/process_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -199,8 +200,29 @@
 	<-p.ended
 }
 
+// signal sends a signal. A stopped process runs on for a moment after that, so its stop is
+// waited for.
 func (p *process) signal(t *testing.T, s syscall.Signal) {
 	require.NoError(t, p.command.Process.Signal(s))
+	if s == syscall.SIGSTOP {
+		require.Eventually(t, func() bool { return p.isStopped(t) }, 10*time.Second, time.Millisecond)
+	}
+}
+
+// isStopped reports whether all threads of the process are stopped.
+func (p *process) isStopped(t *testing.T) bool {
+	paths, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	require.NoError(t, err)
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return false // the thread has just ended
+		}
+		if fields := strings.Fields(string(text[bytes.LastIndexByte(text, ')')+1:])); fields[0] != "T" {
+			return false
+		}
+	}
+	return len(paths) > 0
 }
 
 // list writes a zone's host list, with the named targets as leaving.
