--- a/cmd/shallotmodel/main_test.go
+++ b/cmd/shallotmodel/main_test.go
@@ -44,7 +44,7 @@
 	var out, notes bytes.Buffer
 	require.Zero(t, run([]string{"-ablate", path}, &out, &notes), notes.String())
 	assert.Regexp(t, `pooled +1\.00 +[01]\.\d+ +[01]\.\d+ +\+0\.0000`, out.String())
-	assert.Regexp(t, `without pace +1\.00`, out.String())
+	assert.Regexp(t, `without slow +1\.00`, out.String())
 }
 
 // TestWrongUse: wrong command lines and scenarios play nothing and say why.
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/shallotrouter/shallotrouter/internal/driver"
 	"github.com/shallotrouter/shallotrouter/internal/inspector"
+	"github.com/shallotrouter/shallotrouter/internal/limiter"
 	"github.com/shallotrouter/shallotrouter/internal/linker"
 	"github.com/shallotrouter/shallotrouter/internal/loader"
 	"github.com/shallotrouter/shallotrouter/internal/logger"
@@ -86,6 +87,7 @@
 	d.Links = links
 	d.Targets = &platform.Targets{
 		Clock: n.Clock, Log: n.Log, Sink: d, Dial: v.Dial, Unacked: v.Unacked, Connections: v.Connections, Observe: n.Meter.Order,
+		Limiter: &limiter.Limiter{Clock: n.Clock, AtOnce: v.Bounds.Orders, Span: v.Bounds.OrderSpan},
 	}
 	registry := n.registrar(self, d)
 	d.Store = registry
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -185,7 +185,7 @@
 	}
 	assert.Empty(t, recalled())
 	for _, count := range []int{5, 7} {
-		want := router.Keep{Lessons: []router.Lesson{{Route: "r", Count: count, Budgets: 3, MeanBudget: 1.5}}}
+		want := router.Keep{Lessons: []router.Lesson{{Route: "r", Count: count, Timeouts: 3, MeanTimeout: 1.5}}}
 		require.NoError(t, g.keep(t.Context(), want))
 		assert.Equal(t, []router.Keep{want}, recalled())
 	}
--- a/internal/router/bounds.go
+++ b/internal/router/bounds.go
@@ -75,6 +75,14 @@
 	// Linger is how long a stopping host takes requests: the balancer looks
 	// once a second and needs two misses.
 	Linger time.Duration
+	// Orders bounds the orders to targets under way, but for renewals that wait. When
+	// there are many at once, as after a takeover, a small processor share gets to the
+	// answers and heartbeats between them: an order takes 0.24 ms of a core (bench,
+	// docs/CAPACITY.md), so that they delay an answer by 15 ms at 0.4 cores.
+	Orders int
+	// OrderSpan is how long an order counts as under way: half of Prompt, so that those to
+	// silent targets hold up others for less.
+	OrderSpan time.Duration
 	// Split is the number of targets up to which one host holds all cells: three
 	// times the 48 of a deployment that takes an eighth of a core.
 	Split int
@@ -108,6 +116,8 @@
 		Absent:     2500 * time.Millisecond,
 		Grace:      6 * time.Second,
 		Linger:     2300 * time.Millisecond,
+		Orders:     24,
+		OrderSpan:  50 * time.Millisecond,
 		Split:      150,
 	}
 }
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -67,7 +67,7 @@
 // checkLessons checks what another host has learned.
 func checkLessons(lessons []Lesson, speeds []Speed) error {
 	for _, l := range lessons {
-		if l.Count < 0 || l.Budgets < 0 || l.VarBudget < 0 || !finite(l.MeanX, l.MeanY, l.VarX, l.CovXY, l.MeanBudget, l.VarBudget) {
+		if l.Count < 0 || l.Timeouts < 0 || l.VarTimeout < 0 || !finite(l.MeanX, l.MeanY, l.VarX, l.CovXY, l.MeanTimeout, l.VarTimeout) {
 			return &MalformedError{"what was learned of a route", fmt.Sprint(l)}
 		}
 	}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -93,14 +93,14 @@
 			return r.Bounds.Settle
 		}
 	}
-	if r.outclassed() {
+	if r.isMuchWeaker() {
 		return r.Bounds.Settle / 4
 	}
 	return 0
 }
 
-// outclassed reports whether a known host that shares this one's cells is much stronger.
-func (r *Router) outclassed() bool {
+// isMuchWeaker reports whether a known host that shares this one's cells is much stronger.
+func (r *Router) isMuchWeaker() bool {
 	for _, p := range r.peers {
 		if r.related(p.member.Zone) && weak(r.Self, p.member) {
 			return true
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -80,7 +80,11 @@
 
 // Warm opens connections to a target, or uses them so that they stay open, without any
 // effect there. It is not answered.
-type Warm struct{ Target Target }
+type Warm struct {
+	Target      Target
+	Connections int
+	Timeout     time.Duration
+}
 
 // Retire drops the idle connections to a target.
 type Retire struct {
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -13,7 +13,7 @@
 	count        int
 	meanX, meanY float64 // declared and measured, logarithms of seconds
 	varX, covXY  float64
-	budgets      budgets
+	timeouts     timeouts
 	// outliers is by how many more of the last tasks were outliers than not.
 	outliers int
 }
@@ -27,11 +27,11 @@
 	MeanY float64 `cbor:"4,keyasint"`
 	VarX  float64 `cbor:"5,keyasint"`
 	CovXY float64 `cbor:"6,keyasint"`
-	// Budgets counts the jobs whose clients' time budgets were taken, with their mean
+	// Timeouts counts the jobs whose clients' timeouts were taken, with their mean
 	// and variance in seconds.
-	Budgets    int     `cbor:"7,keyasint,omitempty"`
-	MeanBudget float64 `cbor:"8,keyasint,omitempty"`
-	VarBudget  float64 `cbor:"9,keyasint,omitempty"`
+	Timeouts    int     `cbor:"7,keyasint,omitempty"`
+	MeanTimeout float64 `cbor:"8,keyasint,omitempty"`
+	VarTimeout  float64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Speed is how the tasks of one kind of target compare with others, as the
@@ -129,7 +129,7 @@
 func (h *history) noteOutlier() {
 	h.outliers++
 	if h.outliers > historyTrust {
-		*h = history{budgets: h.budgets}
+		*h = history{timeouts: h.timeouts}
 	}
 }
 
@@ -195,7 +195,7 @@
 		h := r.learned[route]
 		lessons = append(lessons, Lesson{
 			Route: route, Count: h.count, MeanX: h.meanX, MeanY: h.meanY, VarX: h.varX, CovXY: h.covXY,
-			Budgets: h.budgets.count, MeanBudget: h.budgets.mean, VarBudget: h.budgets.variance,
+			Timeouts: h.timeouts.count, MeanTimeout: h.timeouts.mean, VarTimeout: h.timeouts.variance,
 		})
 	}
 	var speeds []Speed
@@ -209,7 +209,7 @@
 	// keepEvery is the period at which a holder writes what it has learned to the store:
 	// what is lost with all hosts is a small part of it.
 	keepEvery = 10 * time.Second
-	// mostKept bounds the routes that are written, the busiest first: 80 bytes each, in a
+	// mostKept bounds the routes that are written, the busiest first: 90 bytes each, in a
 	// row of 64 KB.
 	mostKept = 400
 )
@@ -256,7 +256,7 @@
 	for _, l := range lessons {
 		r.learned[l.Route] = &history{
 			count: l.Count, meanX: l.MeanX, meanY: l.MeanY, varX: l.VarX, covXY: l.CovXY,
-			budgets: budgets{count: l.Budgets, mean: l.MeanBudget, variance: l.VarBudget},
+			timeouts: timeouts{count: l.Timeouts, mean: l.MeanTimeout, variance: l.VarTimeout},
 		}
 	}
 	for _, s := range slices.Clone(speeds) {
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -324,7 +324,7 @@
 	t := n.target
 	switch how {
 	case Done:
-		r.paceOfDone(n, r.now.Sub(n.sent))
+		r.noteDone(n, r.now.Sub(n.sent))
 		t.failures = 0
 		if !n.slow {
 			t.trial, t.strikes = false, 0
--- a/internal/router/observe.go
+++ b/internal/router/observe.go
@@ -44,12 +44,12 @@
 	}
 	r.progressive = r.progressive || percent > 0
 	if ran >= tellingRun && n.clock > 0 {
-		r.paceOfRunning(n, ran)
+		r.noteRunning(n, ran)
 	}
 	switch {
 	case r.isStuck(n, ran) && r.isSoonerElsewhere(n, ran):
 		r.relocate(n, ran)
-	case percent >= telling && r.uses(Foresight):
+	case percent >= telling && r.uses(HopelessJobs):
 		r.abandonHopeless(n)
 	}
 }
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -83,7 +83,7 @@
 // waiting for runs that may have begun.
 func (r *Router) isSuspect(address string) bool {
 	p := r.peers[address]
-	return p != nil && r.now.Sub(p.heard) > r.Bounds.Beat*3/2 && r.uses(Doubting)
+	return p != nil && r.now.Sub(p.heard) > r.Bounds.Beat*3/2 && r.uses(SuspectHolders)
 }
 
 // sendOffer offers a request to another host. One that takes over from an earlier
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -27,16 +27,16 @@
 	RunTimes Mechanism = "times"
 	// KindSpeeds learns how fast each kind of target is.
 	KindSpeeds Mechanism = "speeds"
-	// Pacing leaves targets out on which runs take longer than expected.
-	Pacing Mechanism = "pace"
+	// SlowTargets leaves targets out on which runs take longer than expected.
+	SlowTargets Mechanism = "slow"
 	// Failing leaves targets out on which runs fail.
 	Failing Mechanism = "failures"
-	// Foresight gives jobs up once a run shows that they cannot end in time.
-	Foresight Mechanism = "foresight"
+	// HopelessJobs gives jobs up once a run shows that they cannot end in time.
+	HopelessJobs Mechanism = "hopeless"
 	// Repeating orders a start once more that was not answered.
 	Repeating Mechanism = "repeats"
-	// Doubting offers nothing to a holder that has been quiet for more than a heartbeat.
-	Doubting Mechanism = "doubts"
+	// SuspectHolders offers nothing to a holder that has been quiet for more than a heartbeat.
+	SuspectHolders Mechanism = "suspects"
 	// Standby keeps connections to the targets open at the hosts that follow the holder.
 	Standby Mechanism = "standby"
 )
@@ -44,7 +44,7 @@
 // Mechanisms returns all parts that can be switched off.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeights, Spells, OwnZone, FastTargets, RunTimes, KindSpeeds, Pacing, Failing, Foresight, Repeating, Doubting, Standby,
+		WorkWeights, Spells, OwnZone, FastTargets, RunTimes, KindSpeeds, SlowTargets, Failing, HopelessJobs, Repeating, SuspectHolders, Standby,
 	}
 }
 
--- a/internal/router/drag.go
+++ b/internal/router/slowdown.go
@@ -6,18 +6,18 @@
 )
 
 const (
-	// dragAllowed is the logarithm of the factor by which runs may take longer than
+	// slowdownAllowed is the logarithm of the factor by which runs may take longer than
 	// expected on average at a sound target: 1.6.
-	dragAllowed = 0.5
-	// dragToBar is the sum of what runs take beyond that which leaves a target out: two or
+	slowdownAllowed = 0.5
+	// slownessToBar is the sum of what runs take beyond that which leaves a target out: two or
 	// three runs at a sixth to a quarter of the speed. Runs of a sound target, whose
 	// logarithms deviate by 0.45, reach it once in some ten thousand.
-	dragToBar = 2
-	// mostDrag bounds what one run adds, so that it takes two to leave a target out.
-	mostDrag = 1.5
+	slownessToBar = 2
+	// mostSlowdown bounds what one run adds, so that it takes two to leave a target out.
+	mostSlowdown = 1.5
 	// slowTrial is the logarithm of the factor from which a trial has failed: 2.
 	slowTrial = 0.7
-	// tellingRun is the shortest run whose progress tells its pace: the clock of a target
+	// tellingRun is the shortest run whose progress tells its run time: the clock of a target
 	// counts milliseconds, and its lists whole percents.
 	tellingRun = 30 * time.Millisecond
 	// farTotal is how many times as long as expected a run takes that is known to be slow
@@ -25,27 +25,27 @@
 	farTotal = 5
 	// slowFor is how long a slow target is left out before a trial.
 	slowFor = 1200 * time.Millisecond
-	// mostBarred is the part of a service's targets that may be left out for their pace.
+	// mostBarred is the part of a service's targets that may be left out for being slow.
 	// Where more are slow, it is not the targets that differ from what is expected.
 	mostBarred = 1.0 / 3
 )
 
-// pace takes how long a run takes in all, as soon as that shows. It is a sequential test
+// noteSlowdown takes how long a run takes in all, as soon as that shows. It is a sequential test
 // (CUSUM) of whether the target has become slow.
-func (r *Router) pace(n *run, total time.Duration) {
-	if n.paced || n.adopted || n.expect <= 0 || total <= 0 || !r.isPredictable(n.job.spec.Route) || !r.uses(Pacing) {
+func (r *Router) noteSlowdown(n *run, total time.Duration) {
+	if n.rated || n.adopted || n.expect <= 0 || total <= 0 || !r.isPredictable(n.job.spec.Route) || !r.uses(SlowTargets) {
 		return
 	}
-	n.paced = true
+	n.rated = true
 	t := n.target
 	excess := math.Log(total.Seconds() / n.expect.Seconds())
 	n.slow = excess > slowTrial
-	t.drag = max(t.drag+min(excess, mostDrag+dragAllowed)-dragAllowed, 0)
+	t.slowness = max(t.slowness+min(excess, mostSlowdown+slowdownAllowed)-slowdownAllowed, 0)
 	failed := t.trial && n.slow
-	if !failed && t.drag < dragToBar || r.now.Before(t.barred) || !r.mayBar(t) {
+	if !failed && t.slowness < slownessToBar || r.now.Before(t.barred) || !r.mayBar(t) {
 		return
 	}
-	t.drag = 0
+	t.slowness = 0
 	r.bar(t, slowFor, "slow")
 }
 
@@ -55,20 +55,20 @@
 	return seconds(ran.Seconds() * hundred / (n.percent + 1))
 }
 
-// paceOfRunning takes how far a run has come, once that is telling. A run that has hardly
+// noteRunning takes how far a run has come, once that is telling. A run that has hardly
 // begun counts where targets are known to tell any progress at all.
-func (r *Router) paceOfRunning(n *run, ran time.Duration) {
+func (r *Router) noteRunning(n *run, ran time.Duration) {
 	total := n.leastTotal(ran)
 	if n.percent >= telling || r.progressive && total > farTotal*n.expect {
-		r.pace(n, total)
+		r.noteSlowdown(n, total)
 	}
 }
 
-// paceOfDone takes how long a run took until its end was seen here. A host that lacks
+// noteDone takes how long a run took until its end was seen here. A host that lacks
 // processor time sees ends late, so this speaks for a target only, not against it.
-func (r *Router) paceOfDone(n *run, total time.Duration) {
-	if total.Seconds() < n.expect.Seconds()*math.Exp(dragAllowed) {
-		r.pace(n, total)
+func (r *Router) noteDone(n *run, total time.Duration) {
+	if total.Seconds() < n.expect.Seconds()*math.Exp(slowdownAllowed) {
+		r.noteSlowdown(n, total)
 	}
 }
 
--- a/internal/router/drag_test.go
+++ b/internal/router/slowdown_test.go
@@ -7,8 +7,8 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// paceBed is a holder with a route whose run times are known: 100 ms.
-func paceBed(t *testing.T, targets int) *holderBed {
+// ratedBed is a holder with a route whose run times are known: 100 ms.
+func ratedBed(t *testing.T, targets int) *holderBed {
 	t.Helper()
 	b := newHolderBed(t, targets, Won)
 	b.router.learned["r"] = &history{count: 10 * historyTrust}
@@ -20,14 +20,14 @@
 	t := b.router.targets[id]
 	for range runs {
 		n := &run{job: &job{spec: pair("j")}, target: t, expect: 100 * time.Millisecond}
-		b.router.pace(n, time.Duration(times*float64(n.expect)))
+		b.router.noteSlowdown(n, time.Duration(times*float64(n.expect)))
 	}
 }
 
 // TestSlowTargetIsLeftOut: a few runs in a row that take several times as long leave a
 // target out, also where each is too short to be far behind.
 func TestSlowTargetIsLeftOut(t *testing.T) {
-	b := paceBed(t, 4)
+	b := ratedBed(t, 4)
 	isBarred := func(id string) bool { return b.now.Before(b.router.targets[id].barred) }
 	b.ranFor("p", 4.5, 1)
 	assert.False(t, isBarred("p"), "one run says little")
@@ -43,7 +43,7 @@
 
 // TestFailedTrialOfSlowTarget: a slow trial leaves the target out again at once, longer.
 func TestFailedTrialOfSlowTarget(t *testing.T) {
-	b := paceBed(t, 4)
+	b := ratedBed(t, 4)
 	b.ranFor("p", 4.5, 2)
 	p := b.router.targets["p"]
 	b.now = p.barred.Add(time.Millisecond)
@@ -54,7 +54,7 @@
 
 // TestFewTargetsAreLeftOut: where most targets seem slow, what is expected is wrong.
 func TestFewTargetsAreLeftOut(t *testing.T) {
-	b := paceBed(t, 6)
+	b := ratedBed(t, 6)
 	barred := 0
 	for _, id := range sortedKeys(b.router.targets) {
 		b.ranFor(id, 5, 5)
@@ -63,8 +63,8 @@
 	assert.Equal(t, 2, barred)
 }
 
-// TestUnknownPace: nothing is held against targets before run times are known.
-func TestUnknownPace(t *testing.T) {
+// TestUnknownRunTimes: nothing is held against targets before run times are known.
+func TestUnknownRunTimes(t *testing.T) {
 	b := newHolderBed(t, 3, Won)
 	b.ranFor("p", 5, 5)
 	assert.False(t, b.now.Before(b.router.targets["p"].barred))
@@ -73,7 +73,7 @@
 // TestEndsSeenLate: a holder that lacks processor time sees the ends of all runs late, which
 // says nothing of the targets.
 func TestEndsSeenLate(t *testing.T) {
-	b := paceBed(t, 4)
+	b := ratedBed(t, 4)
 	p := b.router.targets["p"]
 	for range 10 {
 		b.router.judge(&run{job: &job{spec: pair("j")}, target: p, expect: 100 * time.Millisecond, sent: b.router.now.Add(-500 * time.Millisecond)}, Done)
@@ -85,10 +85,10 @@
 // targets do not tell any progress.
 func TestNoProgress(t *testing.T) {
 	for _, progressive := range []bool{false, true} {
-		b := paceBed(t, 4)
+		b := ratedBed(t, 4)
 		b.router.progressive = progressive
 		for range 2 {
-			b.router.paceOfRunning(&run{job: &job{spec: pair("j")}, target: b.router.targets["p"], expect: 100 * time.Millisecond}, 60*time.Millisecond)
+			b.router.noteRunning(&run{job: &job{spec: pair("j")}, target: b.router.targets["p"], expect: 100 * time.Millisecond}, 60*time.Millisecond)
 		}
 		assert.Equal(t, progressive, b.now.Before(b.router.targets["p"].barred))
 	}
--- a/internal/router/standby.go
+++ b/internal/router/standby.go
@@ -6,9 +6,14 @@
 	// warmEvery is how often a connection to a target is used that a successor keeps open:
 	// sooner than idle connections are closed.
 	warmEvery = 15 * time.Second
-	// warmPause paces the opening of connections, each of which costs several times as
-	// much as an order: 1 % of a core at most.
+	// warmPause spaces the opening of connections, each of which takes several times as
+	// much processor time as an order.
 	warmPause = 40 * time.Millisecond
+	// warmConnections is how many connections to a target are kept open: one for a renewal
+	// that waits, and one for a start beside it.
+	warmConnections = 2
+	// warmTimeout bounds the opening of a connection and an answer: nothing waits for them.
+	warmTimeout = time.Second
 )
 
 // standBy keeps connections open to the targets of a cell that this host would hold next.
@@ -26,7 +31,7 @@
 			continue
 		}
 		r.warm[entry.ID], r.warmed = r.now, r.now
-		r.emit(Warm{Target: entry})
+		r.emit(Warm{Target: entry, Connections: warmConnections, Timeout: warmTimeout})
 		return
 	}
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -37,7 +37,7 @@
 	// failures counts jobs in a row that failed here; a target that fails all
 	// is left out until a trial succeeds.
 	failures int
-	drag     float64   // how much longer runs take lately than allowed, see pace
+	slowness float64   // how much longer runs take lately than allowed, see noteSlowdown
 	strikes  int       // times in a row that it was left out
 	barred   time.Time // no starts before
 	trial    bool      // the next start is a trial
@@ -69,8 +69,9 @@
 	lookAt  time.Time
 	percent float64
 	total   time.Duration
-	// paced tells that the run's pace has been taken, and slow that it was too slow.
-	paced, slow bool
+	// rated tells that the run has counted for or against the target, and slow that it
+	// was too slow.
+	rated, slow bool
 }
 
 type runState string
@@ -172,7 +173,7 @@
 	r.logTarget(t, "restarted", "born", born)
 	t.born, t.acked, t.clock, t.listing = born, 0, Reading{}, 0
 	t.orphan, t.finished = make(map[string]int), make(map[string]End)
-	t.failures, t.drag, t.barred = 0, 0, time.Time{}
+	t.failures, t.slowness, t.barred = 0, 0, time.Time{}
 	r.look(t) // for starts that were answered after the list was asked for
 }
 
--- a/internal/router/budget_test.go
+++ b/internal/router/timeouts_test.go
@@ -8,34 +8,34 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// budgetsOf returns what is learned from budgets about a mean.
-func budgetsOf(mean, deviation time.Duration) *budgets {
+// timeoutsOf returns what is learned from timeouts about a mean.
+func timeoutsOf(mean, deviation time.Duration) *timeouts {
 	random := rand.New(rand.NewPCG(1, 1))
-	b := &budgets{}
-	for range budgetWindow {
+	b := &timeouts{}
+	for range timeoutWindow {
 		b.take(mean + time.Duration(random.NormFloat64()*float64(deviation)))
 	}
 	return b
 }
 
-// TestShortBudgets: a budget that lacks more than clients differ by was used in part.
-func TestShortBudgets(t *testing.T) {
-	alike := budgetsOf(2*time.Second, 100*time.Millisecond)
+// TestShortTimeouts: a timeout that lacks more than clients differ by was used in part.
+func TestShortTimeouts(t *testing.T) {
+	alike := timeoutsOf(2*time.Second, 100*time.Millisecond)
 	assert.True(t, alike.isShort(700*time.Millisecond))
 	assert.False(t, alike.isShort(1900*time.Millisecond))
 	assert.False(t, alike.isShort(1600*time.Millisecond), "less than a client waits before it tries again")
-	assert.False(t, budgetsOf(2*time.Second, time.Second).isShort(700*time.Millisecond), "clients differ")
-	assert.False(t, (&budgets{}).isShort(time.Millisecond), "nothing is known")
+	assert.False(t, timeoutsOf(2*time.Second, time.Second).isShort(700*time.Millisecond), "clients differ")
+	assert.False(t, (&timeouts{}).isShort(time.Millisecond), "nothing is known")
 }
 
-// TestBudgetsChange: a surge of short budgets changes little, a lasting change is learned.
-func TestBudgetsChange(t *testing.T) {
-	b := budgetsOf(2*time.Second, 100*time.Millisecond)
+// TestTimeoutsChange: a surge of short timeouts changes little, a lasting change is learned.
+func TestTimeoutsChange(t *testing.T) {
+	b := timeoutsOf(2*time.Second, 100*time.Millisecond)
 	for range 100 {
 		b.take(700 * time.Millisecond)
 	}
 	assert.True(t, b.isShort(700*time.Millisecond))
-	for range 20 * budgetWindow {
+	for range 20 * timeoutWindow {
 		b.take(700 * time.Millisecond)
 	}
 	assert.False(t, b.isShort(700*time.Millisecond))
@@ -45,7 +45,7 @@
 // later, and starts at once while there is room.
 func TestRetryComesLast(t *testing.T) {
 	b := newHolderBed(t, 1, Won)
-	b.router.historyOf("r").budgets = *budgetsOf(2*time.Second, 100*time.Millisecond)
+	b.router.historyOf("r").timeouts = *timeoutsOf(2*time.Second, 100*time.Millisecond)
 	started := func(id string) bool { return b.router.jobs[id].begun }
 	b.step(Submit{Request: 1, Job: pair("retry"), Budget: 700 * time.Millisecond})
 	assert.True(t, started("retry"))
@@ -54,12 +54,12 @@
 	assert.True(t, b.router.precedes(b.router.jobs["new"], b.router.jobs["again"]))
 }
 
-// TestClientsInAHurry: while no host was lost, a short budget is no sign of an earlier try.
+// TestClientsInAHurry: while no host was lost, a short timeout is no sign of an earlier try.
 func TestClientsInAHurry(t *testing.T) {
 	b := newHolderBed(t, 1, Won)
-	known := *budgetsOf(2*time.Second, 100*time.Millisecond)
+	known := *timeoutsOf(2*time.Second, 100*time.Millisecond)
 	submit := func(id string) bool {
-		b.router.historyOf("r").budgets = known
+		b.router.historyOf("r").timeouts = known
 		b.step(Submit{Request: uint64(len(b.router.jobs) + 1), Job: pair(id), Budget: 700 * time.Millisecond})
 		return b.router.jobs[id].waited
 	}
