internal/modeler: evacuations as a disturbance, with an invariant

Checked beside each other fault at four offsets, and in the random simulations, where evacuations are drawn apart from the faults so that old seeds repeat.

--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -72,8 +72,18 @@
 	return sim
 }
 
+// addEvacuations adds up to two evacuations, beside the faults of a random simulation.
+func addEvacuations(sim *Simulation) {
+	random := rand.New(rand.NewPCG(sim.Seed, 8))
+	for range random.IntN(3) {
+		at := time.Duration(random.Int64N(int64(5 * time.Second)))
+		sim.Faults = append(sim.Faults, Fault{Kind: EvacuateZone, At: at, Duration: 500*time.Millisecond + time.Duration(random.Int64N(int64(8*time.Second)))})
+	}
+}
+
 // TestInvariantsHoldUnderRandomFaults checks the invariants under random faults: a task has
-// at most one run at a time, a job refused as not run never ran, a job answered as complete
+// at most one run at a time, a job refused as not run never ran, nothing starts in an
+// evacuated zone later than the bound allows, a job answered as complete
 // has all its tasks done, and every client whose host runs gets an answer.
 func TestInvariantsHoldUnderRandomFaults(t *testing.T) {
 	var group sync.WaitGroup
@@ -82,6 +92,7 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			sim := randomSimulation(seed)
+			addEvacuations(sim)
 			sim.Run()
 			if !assert.Empty(t, sim.Violations, "seed %d, %+v, share of orders executed late %v, share of answers lost %v, targets under one holder %d, hosts in a full mesh %d, hosts per zone %d", seed, sim.Faults, sim.LateOrderShare, sim.LostAnswerShare, sim.Bounds.MaxSharedTargets, sim.Bounds.FullMeshHosts, sim.Size.HostsPerZone) {
 				logResults(t, sim)
--- /dev/null
+++ b/internal/modeler/evacuation_test.go
@@ -0,0 +1,75 @@
+package modeler
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// spreadTime is the time in which all hosts that reach the store know an evacuation: the
+// interval of reads, and an order under way.
+const spreadTime = declarationsInterval + 100*time.Millisecond
+
+// TestEvacuationHoldsUnderEachFault evacuates a zone while a fault of the hosts, the store or
+// the network begins just before, with or just after it. No host may start a task there
+// later than the bound allows, and the clients of all zones must be served again after both.
+func TestEvacuationHoldsUnderEachFault(t *testing.T) {
+	const second, begin = time.Second, 6 * time.Second
+	for _, f := range []Fault{
+		{Kind: KillHost, Selector: "holder", Duration: second},
+		{Kind: PauseHost, Selector: "holder", Duration: 4 * second},
+		{Kind: RestartHost, Selector: "holder"},
+		{Kind: PartitionHost, Selector: "holder", Duration: 5 * second},
+		{Kind: PartitionStore, Selector: "holder", Duration: 6 * second},
+		{Kind: PartitionZone, Selector: "north", Duration: 6 * second},
+		{Kind: PartitionZone, Selector: "south", Duration: 6 * second},
+		{Kind: StoreUnavailable, Duration: 4 * second},
+		{Kind: StoreSlow, Duration: 4 * second},
+		{Kind: StoreAnswersLost, Duration: 4 * second},
+		{Kind: KillAllHosts, Duration: second},
+		{Kind: Burst, RateFactor: 2, Duration: 4 * second},
+	} {
+		for _, offset := range []time.Duration{-150 * time.Millisecond, 0, 5 * time.Millisecond, 3 * second} {
+			t.Run(fmt.Sprintf("%s-%s-%v", f.Kind, f.Selector, offset), func(t *testing.T) {
+				t.Parallel()
+				f.At = begin + offset
+				sim := testSimulation(0.6, 20*second, f, Fault{Kind: EvacuateZone, Selector: "north", At: begin, Duration: 9 * second})
+				sim.Run()
+				assert.Empty(t, sim.Violations)
+				assert.GreaterOrEqual(t, sim.Results.BenefitRatio(), 0.5)
+			})
+		}
+	}
+}
+
+// TestEvacuationTakesEffectAtOnce checks that hosts which reach the store start nothing in an
+// evacuated zone after spreadTime, whether one host holds all zones or each zone has a
+// holder, and that nothing runs there once the longest run has ended.
+func TestEvacuationTakesEffectAtOnce(t *testing.T) {
+	for _, maxShared := range []int{150, 10} {
+		sim := testSimulation(0.6, 12*time.Second, Fault{Kind: EvacuateZone, Selector: "north", At: 4 * time.Second, Duration: 6 * time.Second})
+		sim.Bounds.MaxSharedTargets = maxShared
+		sim.Run()
+		assert.Empty(t, sim.Violations)
+		if starts := sim.Results.EvacuatedStarts; len(starts) > 0 {
+			assert.LessOrEqual(t, slices.Max(starts), spreadTime)
+		}
+	}
+}
+
+// TestOverlappingEvacuations evacuates two zones at overlapping times, and one of them again
+// within a second after it was readmitted. The older state must not come back.
+func TestOverlappingEvacuations(t *testing.T) {
+	const second = time.Second
+	sim := testSimulation(0.4, 20*second,
+		Fault{Kind: EvacuateZone, Selector: "north", At: 4 * second, Duration: 3 * second},
+		Fault{Kind: EvacuateZone, Selector: "south", At: 5 * second, Duration: 8 * second},
+		Fault{Kind: EvacuateZone, Selector: "north", At: 7*second + 300*time.Millisecond, Duration: 7 * second},
+	)
+	sim.Run()
+	assert.Empty(t, sim.Violations)
+	assert.LessOrEqual(t, slices.Max(sim.Results.EvacuatedStarts), spreadTime)
+}
--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -146,8 +146,10 @@
 	}
 }
 
-// partition blocks messages between two places, in both directions, for a duration.
+// partition blocks messages between two places, in both directions, for a duration. It
+// counts as a disturbance of the first place only.
 func (sm *Simulation) partition(a, b string, duration time.Duration) {
+	sm.disturb(a, duration)
 	sm.blockedPaths[[2]string{a, b}], sm.blockedPaths[[2]string{b, a}] = true, true
 	sm.schedule(duration, func() {
 		delete(sm.blockedPaths, [2]string{a, b})
@@ -169,6 +171,7 @@
 
 func (sm *Simulation) injectStoreFault(f Fault) {
 	s := sm.store
+	sm.disturb("store", f.Duration)
 	switch f.Kind {
 	case StoreUnavailable:
 		s.unavailable = true
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -20,6 +20,7 @@
 	paused       bool
 	leaving      bool
 	deferred     []func() // events that arrived while the process was paused
+	startedAt    time.Time
 	resumedAt    time.Time
 	links        map[string]bool // by address, whether the link is open; no entry when not wanted
 	sentMessages int             // number of messages to other hosts
@@ -31,7 +32,7 @@
 		return
 	}
 	h.incarnation++
-	h.up, h.paused, h.leaving, h.deferred = true, false, false, nil
+	h.up, h.paused, h.leaving, h.deferred, h.startedAt = true, false, false, nil, h.sim.now
 	h.links = make(map[string]bool)
 	h.router = &router.Router{
 		Policy: h.sim.Policy,
--- a/internal/modeler/tally.go
+++ b/internal/modeler/tally.go
@@ -11,6 +11,8 @@
 // Results counts the answers that clients received and their benefit.
 type Results struct {
 	Starts int
+	// EvacuatedStarts are the times from the evacuation of a zone to the starts there during it.
+	EvacuatedStarts []time.Duration
 	// Tasks is the number of tasks of completed jobs.
 	Tasks int
 	Kinds map[string]*KindCount
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -270,7 +270,9 @@
 		incarnation := t.incarnation
 		sm.schedule(delay+time.Duration(2+sm.random.IntN(10))*time.Second, func() {
 			if t.up && t.incarnation == incarnation {
+				sm.executesLate = true
 				handlerOf(t)()
+				sm.executesLate = false
 			}
 		})
 		return
@@ -364,6 +366,7 @@
 	if at := sm.runningTasks[e.Task]; at != "" {
 		sm.recordViolation("two runs of %s: at %s, and run %d at %s by %s", e.Task, at, e.Run, t.entry.ID, h.name)
 	}
+	sm.checkEvacuation(t, h, e.Task)
 	sm.runningTasks[e.Task] = fmt.Sprintf("%s run %d by %s at %.3f", t.entry.ID, e.Run, h.name, sm.now.Sub(sm.loadStart).Seconds())
 	sm.startCounts[jobID(e.Task)]++
 	sm.Results.Starts++
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -68,6 +68,8 @@
 	targets        map[string]*target
 	targetIDs      []string
 	store          *store
+	disturbedUntil map[string]time.Time       // by host, zone or "store", until when it does not work normally
+	executesLate   bool                       // a target executes a late order
 	blockedPaths   map[[2]string]bool         // by the sending and the receiving place, see canReach
 	runningTasks   map[string]string          // by task ID, a description of its run
 	startCounts    map[string]int             // started runs by job ID
@@ -133,6 +135,7 @@
 	sm.networkRandom = rand.New(rand.NewPCG(sm.Seed, 3))
 	sm.hostsByAddress = make(map[string]*host)
 	sm.targets = make(map[string]*target)
+	sm.disturbedUntil = make(map[string]time.Time)
 	sm.blockedPaths = make(map[[2]string]bool)
 	sm.runningTasks = make(map[string]string)
 	sm.startCounts = make(map[string]int)
