internal/router: hosts of an evacuated zone offer to other zones; true refusals of previous holders count

A holder that takes other cells was ruled out: one host would serve two thirds of the clients and another one third.

An origin that offered a job to two holders answered "unknown" although each had refused it truthfully. Offers and verdicts now carry the claim's token, so that the origin matches them: when every previous holder has told that it started nothing, the current one is told, need not wait for runs, and its refusal is reported as one. A holder that loses a cell gives unstarted jobs back at once.

A held zone whose targets the directory does not list yet no longer ends a quarantine. The model delivers the messages of a link in order, as a WebSocket does: had passed by luck of the delays.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -45,6 +45,8 @@
 type Store interface {
 	// WriteClaims is answered by router.ClaimsWritten.
 	WriteClaims(router.WriteClaims)
+	// ReadClaims is answered by router.ClaimsRead if the store answers.
+	ReadClaims()
 	// ReadDirectory is answered by router.DirectoryRead or router.DirectoryReadFailed.
 	ReadDirectory()
 	SaveLearnedState(router.SaveLearnedState)
@@ -160,6 +162,8 @@
 		d.executeTargetEffect(e)
 	case router.WriteClaims:
 		d.Store.WriteClaims(e)
+	case router.ReadClaims:
+		d.Store.ReadClaims()
 	case router.ReadDirectory:
 		d.Store.ReadDirectory()
 	case router.SaveLearnedState:
--- a/internal/modeler/evacuation_test.go
+++ b/internal/modeler/evacuation_test.go
@@ -60,6 +60,25 @@
 	}
 }
 
+// TestClientsOfEvacuatedZoneAreServed checks that the clients of an evacuated zone are served
+// by the other zones, whether one host holds all zones or each zone has a holder. Two thirds of
+// the capacity carry the load.
+func TestClientsOfEvacuatedZoneAreServed(t *testing.T) {
+	for _, maxShared := range []int{150, 10} {
+		t.Run(fmt.Sprint(maxShared), func(t *testing.T) {
+			meanBenefit(t, func() *Simulation {
+				sim := testSimulation(0.6, 12*time.Second, Fault{Kind: EvacuateZone, Selector: "north", At: 2 * time.Second, Duration: 8 * time.Second})
+				sim.Bounds.MaxSharedTargets = maxShared
+				return sim
+			}, func(sim *Simulation) {
+				north := sim.Results.Zones["north"]
+				t.Logf("benefit of the evacuated zone's clients %.3f", north.Achieved/north.Possible)
+				assert.GreaterOrEqual(t, north.Achieved/north.Possible, 0.9)
+			})
+		})
+	}
+}
+
 // TestOverlappingEvacuations evacuates two zones at overlapping times, and one of them again
 // within a second after it was readmitted. The older state must not come back.
 func TestOverlappingEvacuations(t *testing.T) {
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -15,15 +15,18 @@
 	router  *router.Router
 	// incarnation counts the starts and ends of the process. Events scheduled for an
 	// earlier incarnation are dropped.
-	incarnation  int
-	up           bool
-	paused       bool
-	leaving      bool
-	deferred     []func() // events that arrived while the process was paused
-	startedAt    time.Time
-	resumedAt    time.Time
-	links        map[string]bool // by address, whether the link is open; no entry when not wanted
-	sentMessages int             // number of messages to other hosts
+	incarnation int
+	up          bool
+	paused      bool
+	leaving     bool
+	deferred    []func() // events that arrived while the process was paused
+	startedAt   time.Time
+	resumedAt   time.Time
+	links       map[string]bool // by address, whether the link is open; no entry when not wanted
+	// deliveredAt is when the last message to each address arrives. A link delivers messages
+	// in order.
+	deliveredAt  map[string]time.Time
+	sentMessages int // number of messages to other hosts
 }
 
 // startProcess starts the process unless it is running.
@@ -33,7 +36,7 @@
 	}
 	h.incarnation++
 	h.up, h.paused, h.leaving, h.deferred, h.startedAt = true, false, false, nil, h.sim.now
-	h.links = make(map[string]bool)
+	h.links, h.deliveredAt = make(map[string]bool), make(map[string]time.Time)
 	h.router = &router.Router{
 		Policy: h.sim.Policy,
 		Self:   router.Member{Name: h.name, Zone: h.zone, Address: h.address, Incarnation: h.sim.now.UnixNano()},
@@ -142,6 +145,8 @@
 		sim.store.writeClaims(h, e)
 	case router.SaveLearnedState:
 		sim.store.saveLearnedState(h, e)
+	case router.ReadClaims:
+		sim.store.readClaims(h)
 	case router.ReadDirectory:
 		sim.store.readDirectory(h)
 	case router.Decision:
@@ -171,7 +176,12 @@
 	if !sim.canReach(h.name, h.zone, to.name, to.zone) {
 		return
 	}
-	to.schedule(sim.delay(h.zone, to.zone), func() { to.step(router.Receive{From: h.address, Message: e.Message}) })
+	arrival := sim.now.Add(sim.delay(h.zone, to.zone))
+	if last := h.deliveredAt[e.To]; arrival.Before(last) {
+		arrival = last
+	}
+	h.deliveredAt[e.To] = arrival
+	to.schedule(arrival.Sub(sim.now), func() { to.step(router.Receive{From: h.address, Message: e.Message}) })
 }
 
 // dial opens a link and retries until it is open or no longer wanted.
--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -69,9 +69,7 @@
 		for _, address := range sortedKeys(s.members) {
 			registered.Members = append(registered.Members, s.members[address].member)
 		}
-		for _, zone := range sortedKeys(s.claims) {
-			registered.Claims = append(registered.Claims, s.claims[zone])
-		}
+		registered.Claims = s.sortedClaims()
 		h.schedule(0, func() { h.step(registered) })
 		s.loadLearnedState(h)
 	})
@@ -124,6 +122,21 @@
 	return written
 }
 
+func (s *store) sortedClaims() []router.StoredClaim {
+	var claims []router.StoredClaim
+	for _, zone := range sortedKeys(s.claims) {
+		claims = append(claims, s.claims[zone])
+	}
+	return claims
+}
+
+func (s *store) readClaims(h *host) {
+	s.invoke(h, func() {
+		claims := s.sortedClaims()
+		h.schedule(0, func() { h.step(router.ClaimsRead{Claims: claims}) })
+	})
+}
+
 func (s *store) saveLearnedState(h *host, e router.SaveLearnedState) {
 	s.invoke(h, func() { s.savedStates[h.zone] = e })
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -164,6 +164,19 @@
 	go c.run(g.context)
 }
 
+// ReadClaims reads the claims and answers with router.ClaimsRead, unless the read fails.
+func (g *Registrar) ReadClaims() {
+	c := &storeCall{work: func(ctx context.Context) {
+		rows, _, err := g.Store.List(ctx, ClaimsTable)
+		if err != nil {
+			g.Log.V(1).Info("reading the claims failed", "error", err.Error())
+			return
+		}
+		g.Sink.Put(router.ClaimsRead{Claims: g.decodeClaims(rows)})
+	}}
+	go c.run(g.context)
+}
+
 func (g *Registrar) commitClaims(ctx context.Context, e router.WriteClaims) router.ClaimsWritten {
 	result := router.ClaimsWritten{Token: e.Token, Result: router.ClaimTimeout}
 	puts := make([]Row, 0, len(e.Rows))
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -8,6 +8,9 @@
 	claim      Claim
 	rowVersion uint64 // version of the claim's row in the store
 	heldHere   bool
+	// listed is true if the current directory has the zone's targets. Where each zone has a
+	// holder of its own, hosts keep the targets of their own zone and of held cells only.
+	listed bool
 	// acquiredAt is when this host became the holder.
 	acquiredAt       time.Time
 	holderlessSince  time.Time // since when no holder is reachable, or the holder is leaving; zero otherwise
@@ -106,7 +109,7 @@
 func (r *Router) trackMissingHolders() {
 	for _, zone := range sortedKeys(r.cells) {
 		c := r.cells[zone]
-		if !r.sharesCells(zone) && !c.heldHere {
+		if !r.sharesCells(zone) && !c.heldHere && !r.followedZones[zone] {
 			c.holderlessSince = time.Time{}
 			continue
 		}
@@ -159,6 +162,7 @@
 			r.releaseTarget(t)
 		}
 	}
+	r.returnUnstartedJobs(c.zone)
 	r.lostJobsDropAt[c.zone] = r.now.Add(lostJobsDropDelay)
 	r.offerAllRequests()
 }
@@ -198,10 +202,15 @@
 	for _, m := range e.Members {
 		r.addPeer(m)
 	}
+	r.handleClaimsRead(ClaimsRead{Claims: e.Claims})
+	r.sendHeartbeats()
+}
+
+// handleClaimsRead adopts the claims that the store has.
+func (r *Router) handleClaimsRead(e ClaimsRead) {
 	for _, row := range e.Claims {
 		c := r.cell(row.Claim.Zone)
 		c.rowVersion = max(c.rowVersion, row.Version)
 		r.applyClaim(row.Claim)
 	}
-	r.sendHeartbeats()
 }
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -134,6 +134,12 @@
 	return r.shouldMerge(c, candidates)
 }
 
+// isCellPeer reports whether a peer shares cells with this host or is a hub of its cells, so
+// that the peer tells something about the side of a partition that this host is on.
+func (r *Router) isCellPeer(p *peer) bool {
+	return r.sharesCells(p.member.Zone) || r.hubs[p.member.Address]
+}
+
 // hasRecentView reports whether this host's view of the other hosts of its cells is
 // recent enough to tell which side of a network partition it is on.
 func (r *Router) hasRecentView() bool {
@@ -141,7 +147,7 @@
 		return false
 	}
 	for _, p := range r.peers {
-		if r.sharesCells(p.member.Zone) && !p.monitored || p.monitored && p.hasBeenReachable && !r.hasHadTimeToAnswer(p) && r.now.Sub(p.lastEchoedAt) > r.Bounds.PeerTimeout {
+		if r.sharesCells(p.member.Zone) && !p.monitored || r.isCellPeer(p) && p.monitored && p.hasBeenReachable && !r.hasHadTimeToAnswer(p) && r.now.Sub(p.lastEchoedAt) > r.Bounds.PeerTimeout {
 			return false
 		}
 	}
@@ -175,7 +181,7 @@
 func (r *Router) reachablePeersLackHolder() bool {
 	noPeerReachable := true
 	for _, p := range r.peers {
-		if p.monitored && r.isReachable(p) {
+		if p.monitored && r.isCellPeer(p) && r.isReachable(p) {
 			noPeerReachable = false
 			if p.reachesHolder {
 				return false
@@ -326,7 +332,7 @@
 // Bounds.PeerTimeout, which is two and a half heartbeats.
 func (r *Router) hasStalePeer() bool {
 	for _, p := range r.peers {
-		if p.monitored && r.isReachable(p) && r.now.Sub(p.lastEchoedAt) > r.Bounds.PeerTimeout/2 {
+		if p.monitored && r.isCellPeer(p) && r.isReachable(p) && r.now.Sub(p.lastEchoedAt) > r.Bounds.PeerTimeout/2 {
 			return true
 		}
 	}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -103,7 +103,7 @@
 
 // adoptDirectory replaces the current directory if d is newer and differs from it.
 func (r *Router) adoptDirectory(d Directory, requestedAt time.Time, source string) {
-	if d.Version <= r.directory.Version {
+	if d.Version < r.directory.Version || d.Version == r.directory.Version && !r.holdsUnlistedCell() {
 		return
 	}
 	r.dropForeignTargets(&d)
@@ -128,14 +128,30 @@
 	}
 }
 
+// holdsUnlistedCell reports whether the current directory lacks the targets of a held cell.
+func (r *Router) holdsUnlistedCell() bool {
+	for _, c := range r.cells {
+		if c.heldHere && !c.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // dropForeignTargets removes the targets of other zones from d if each zone has a
-// holder of its own, except those of cells that this host holds.
+// holder of its own, except those of cells that this host holds. It records which zones the
+// directory covers.
 func (r *Router) dropForeignTargets(d *Directory) {
+	isWhole := len(d.Targets) >= d.Total // a peer may have dropped the targets of other zones
 	d.Total = d.targetCount()
 	r.updateTotalTargets(d.Version, d.Total)
+	for _, t := range d.Targets {
+		r.cell(t.Zone)
+	}
+	for zone, c := range r.cells {
+		c.listed = isWhole && (!r.holderPerZone || zone == r.Self.Zone || c.heldHere) || zone == r.Self.Zone
+	}
 	if r.holderPerZone {
-		d.Targets = slices.DeleteFunc(slices.Clone(d.Targets), func(t Target) bool {
-			return t.Zone != r.Self.Zone && !r.cell(t.Zone).heldHere
-		})
+		d.Targets = slices.DeleteFunc(slices.Clone(d.Targets), func(t Target) bool { return !r.cell(t.Zone).listed })
 	}
 }
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -102,6 +102,10 @@
 	Rows  []StoredClaim
 }
 
+// ReadClaims requests the claims from the store. It is answered by one ClaimsRead, or not at
+// all if the store does not answer.
+type ReadClaims struct{}
+
 // ReadDirectory requests the directory from the store. It is answered by one
 // DirectoryRead or DirectoryReadFailed.
 type ReadDirectory struct{}
@@ -150,6 +154,7 @@
 func (Renew) effect()            {}
 func (CloseIdle) effect()        {}
 func (WriteClaims) effect()      {}
+func (ReadClaims) effect()       {}
 func (ReadDirectory) effect()    {}
 func (WarmUp) effect()           {}
 func (SaveLearnedState) effect() {}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -67,6 +67,9 @@
 	Version uint64
 }
 
+// ClaimsRead delivers the claims that were requested from the store.
+type ClaimsRead struct{ Claims []StoredClaim }
+
 // ClaimsWritten reports the result of a WriteClaims.
 type ClaimsWritten struct {
 	Token  uint64
@@ -206,6 +209,7 @@
 func (DirectoryReadFailed) event() {}
 func (LearnedStateRead) event()    {}
 func (Registered) event()          {}
+func (ClaimsRead) event()          {}
 func (ClaimsWritten) event()       {}
 func (StartAnswered) event()       {}
 func (StopAnswered) event()        {}
--- a/internal/router/holder_test.go
+++ b/internal/router/holder_test.go
@@ -244,7 +244,7 @@
 	b.router.meanWorkByRoute["r"] = 2 * 0.1 * 1000
 	usual, large := twoTaskJob("usual"), twoTaskJob("large")
 	large.Count = 12
-	usualJob, largeJob := b.router.newJob("x", &Offer{Job: usual, TimeLeft: time.Minute}), b.router.newJob("x", &Offer{Job: large, TimeLeft: time.Minute})
+	usualJob, largeJob := b.router.newJob(Member{Address: "x"}, &Offer{Job: usual, TimeLeft: time.Minute}), b.router.newJob(Member{Address: "x"}, &Offer{Job: large, TimeLeft: time.Minute})
 	assert.Less(t, b.router.waitWeight(usualJob), b.router.waitWeight(largeJob))
 	assert.LessOrEqual(t, b.router.waitWeight(largeJob), maxWaitWeight)
 }
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -15,6 +15,8 @@
 
 	spec         Job
 	origin       string // address of the host that received the job from its client
+	zone         string // zone of the cell for which the job was offered
+	token        uint64 // token of the claim under which the job was offered
 	submissionID int64  // identifies the submission; see Offer.SubmissionID
 	tasks        []task
 	waitingCount int // tasks in state taskWaiting
@@ -119,10 +121,10 @@
 	if p != nil {
 		origin = p.member
 	}
-	c := r.cells[origin.Zone]
+	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
 	stale := p != nil && !r.isReachable(p) // the offer may have been in transit since the connection was cut
 	if c == nil || !c.heldHere || stale {
-		r.sendVerdict(origin.Address, Verdict{ID: o.Job.ID, Outcome: WrongHolder, SubmissionID: o.SubmissionID})
+		r.sendVerdict(origin.Address, Verdict{ID: o.Job.ID, Outcome: WrongHolder, SubmissionID: o.SubmissionID, Token: o.Token})
 		return
 	}
 	previous := r.jobs[o.Job.ID]
@@ -130,7 +132,7 @@
 		r.handleRepeatedOffer(previous, origin.Address, o)
 		return
 	}
-	j := r.newJob(origin.Address, o)
+	j := r.newJob(origin, o)
 	j.inheritRuns(previous)
 	j.likelyRetry = r.isLikelyRetry(j)
 	if v, refused := r.admit(j); refused {
@@ -154,7 +156,7 @@
 // Bounds.VerdictRetention, because a copy of its offer may still arrive over a connection that
 // was replaced.
 func (r *Router) refuseJob(j *job, v Verdict) {
-	v.SubmissionID = j.submissionID
+	v.SubmissionID, v.Token = j.submissionID, j.token
 	j.ended, j.verdict, j.endedAt = true, v, r.now
 	r.jobs[j.spec.ID] = j
 	r.endedJobs = append(r.endedJobs, j)
@@ -164,14 +166,15 @@
 // isLateCopy reports whether an offer is a late copy of an offer whose final verdict was
 // already sent to the job's host.
 func (j *job) isLateCopy(origin string, o *Offer) bool {
-	return j.ended && j.verdict.Outcome != WrongHolder && j.origin == origin && j.submissionID == o.SubmissionID && o.SubmissionID != 0
+	isFinal := j.verdict.Outcome != WrongHolder && (j.verdict.Outcome != Returned || j.token == o.Token)
+	return j.ended && isFinal && j.origin == origin && j.submissionID == o.SubmissionID && o.SubmissionID != 0
 }
 
 // canRunAgain reports whether a job has ended in such a way that its client may submit it
 // again.
 func (j *job) canRunAgain() bool {
 	switch j.verdict.Outcome {
-	case Unknown, Refused, WrongHolder:
+	case Unknown, Refused, WrongHolder, Returned:
 		return j.ended
 	}
 	return j.ended && j.verdict.Reason == Withdrawn
@@ -202,19 +205,24 @@
 // submitted it again through another host, its host offers it again under another claim, or
 // the offer is a late copy of one that was already answered.
 func (r *Router) handleRepeatedOffer(j *job, origin string, o *Offer) {
-	j.origin, j.submissionID = origin, o.SubmissionID
+	if !j.ended && j.reoffered && !o.Reoffered && j.submissionID == o.SubmissionID {
+		// The previous holders have told that they did not start it.
+		j.reoffered, j.previousZones = false, nil
+		r.placementNeeded = true
+	}
+	j.origin, j.submissionID, j.token = origin, o.SubmissionID, o.Token
 	j.deadline = later(j.deadline, r.now.Add(o.TimeLeft))
 	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "over", j.ended, "outcome", j.verdict.Outcome}})
 	if j.ended {
-		j.verdict.SubmissionID = o.SubmissionID
+		j.verdict.SubmissionID, j.verdict.Token = o.SubmissionID, o.Token
 		r.sendVerdict(origin, j.verdict)
 	}
 }
 
 // newJob creates a job from an offer.
-func (r *Router) newJob(origin string, o *Offer) *job {
+func (r *Router) newJob(origin Member, o *Offer) *job {
 	j := &job{
-		spec: o.Job, origin: origin, submissionID: o.SubmissionID, tasks: make([]task, o.Job.Count), waitingCount: o.Job.Count,
+		spec: o.Job, origin: origin.Address, zone: cmp.Or(o.Zone, origin.Zone), token: o.Token, submissionID: o.SubmissionID, tasks: make([]task, o.Job.Count), waitingCount: o.Job.Count,
 		offeredAt: r.now, arrivedAt: r.now.Add(-o.Elapsed), deadline: r.now.Add(o.TimeLeft),
 		reoffered: o.Reoffered, previousZones: o.PreviousZones,
 	}
@@ -339,7 +347,7 @@
 // unconfirmed and sends the verdict. A run in state runStarting is stopped when its Start is
 // answered or counts as unconfirmed. Jobs also end in refuseJob and dropJobsOfZone.
 func (r *Router) endJob(j *job, v Verdict) {
-	v.ID, v.SubmissionID = j.spec.ID, j.submissionID
+	v.ID, v.SubmissionID, v.Token = j.spec.ID, j.submissionID, j.token
 	v.Outcome = j.reportableOutcome(v.Outcome)
 	if v.Outcome == Refused && j.mayHaveStarted {
 		r.reportViolation("a refusal is true", "job %s may have started but would be refused", j.spec.ID)
@@ -400,7 +408,7 @@
 func (r *Router) dropJobsOfZone(zone string) {
 	for _, id := range sortedKeys(r.jobs) {
 		j := r.jobs[id]
-		if j.ended || r.zoneOf(j.origin) != zone {
+		if j.ended || j.zone != zone {
 			continue
 		}
 		j.ended, j.endedAt, j.verdict = true, r.now, Verdict{ID: id, Outcome: WrongHolder}
@@ -410,6 +418,17 @@
 	}
 }
 
+// returnUnstartedJobs gives the jobs of a zone of which no task has started back to their
+// hosts, because another host has the cell now. The hosts need not wait for runs of these
+// jobs.
+func (r *Router) returnUnstartedJobs(zone string) {
+	for _, id := range sortedKeys(r.jobs) {
+		if j := r.jobs[id]; !j.ended && j.zone == zone && !j.mayHaveStarted && !j.mayHaveStartedEarlier {
+			r.endJob(j, Verdict{Outcome: Returned, Reason: NoHolder})
+		}
+	}
+}
+
 func (r *Router) zoneOf(address string) string {
 	if address == r.Self.Address {
 		return r.Self.Zone
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -149,6 +149,10 @@
 	// SubmissionID distinguishes this submission of the job from others. It is the time
 	// of the job's arrival on its host's clock, in Unix nanoseconds.
 	SubmissionID int64 `cbor:"8,keyasint,omitempty"`
+	// Zone is the zone to whose holder the job is offered; empty means the zone of its host.
+	Zone string `cbor:"9,keyasint,omitempty"`
+	// Token is the token of the claim under which the job is offered.
+	Token uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Withdraw tells a holder that no client waits for a job any more.
@@ -172,6 +176,9 @@
 	// WrongHolder means that the host that was offered the job does not hold the cell.
 	// It has not accepted the job.
 	WrongHolder Outcome = "elsewhere"
+	// Returned means that the holder gives the job back because it has lost the cell: it has
+	// started none of its tasks and will start none.
+	Returned Outcome = "returned"
 )
 
 // Reason is why a job was not completed.
@@ -207,6 +214,8 @@
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
 	// SubmissionID is the ID of the submission that the verdict is for; 0 means any.
 	SubmissionID int64 `cbor:"5,keyasint,omitempty"`
+	// Token is the token of the claim under which the job was offered; 0 means unknown.
+	Token uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Progress reports done tasks to the job's host, so that another holder need not run
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -143,7 +143,7 @@
 // short interval: it holds the peer's cell, the peer is a hub, or the two share cells
 // and this host is a hub or all hosts monitor each other.
 func (r *Router) needsHeartbeatsFrom(p *peer) bool {
-	if c := r.cells[p.member.Zone]; c != nil && c.heldHere || r.hubs[p.member.Address] {
+	if c := r.cells[p.member.Zone]; c != nil && c.heldHere || r.hubs[p.member.Address] || r.isFollowedHolder(p.member.Address) {
 		return true
 	}
 	return r.sharesCells(p.member.Zone) && (r.fullMesh || r.hubs[r.Self.Address])
@@ -201,11 +201,11 @@
 	}
 }
 
-// knownClaims returns the known claims of cells that this host holds or shares.
+// knownClaims returns the known claims of cells that this host holds, shares or follows.
 func (r *Router) knownClaims() []Claim {
 	var claims []Claim
 	for _, zone := range sortedKeys(r.cells) {
-		if c := r.cells[zone]; c.claim.Token > 0 && (c.heldHere || r.sharesCells(zone)) {
+		if c := r.cells[zone]; c.claim.Token > 0 && (c.heldHere || r.sharesCells(zone) || r.followedZones[zone]) {
 			claim := c.claim
 			claim.RowVersion = c.rowVersion
 			claims = append(claims, claim)
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,14 +17,26 @@
 	// which it was offered. Both are zero while no host has the job.
 	holder string
 	token  uint64
+	// zone is the zone for which that holder was offered the job.
+	zone string
 	// offerCount is how often the job was offered to that holder.
 	offerCount int
 	// previousZones are the zones whose targets a previous holder may have used. The list is
 	// empty until the holder has changed.
 	previousZones []string
-	doneTasks     []int
-	runBase       int  // the run numbers of the current holder start above it
-	hasDoneTask   bool // a task of the job was reported done
+	// doubtfulOffers are the offers to previous holders that may have started the job.
+	doubtfulOffers []pastOffer
+	// evacuatedZones are the zones whose holders refused the job because they are evacuated.
+	evacuatedZones []string
+	doneTasks      []int
+	runBase        int  // the run numbers of the current holder start above it
+	hasDoneTask    bool // a task of the job was reported done
+}
+
+// pastOffer is an offer of a job to a holder under the claim with the token.
+type pastOffer struct {
+	holder string
+	token  uint64
 }
 
 const (
@@ -54,14 +67,15 @@
 	r.offerRequest(q)
 }
 
-// offerRequest offers a request to the holder of this host's cell, unless there is none, it
-// already has the job under the same claim, or its heartbeat is overdue.
+// offerRequest offers a request to the holder of the zone that serves it, unless there is
+// none, it already has the job under the same claim, or its heartbeat is overdue.
 func (r *Router) offerRequest(q *request) {
-	h := r.reachableHolder(r.Self.Zone)
+	zone := r.zoneFor(q)
+	h := r.reachableHolder(zone)
 	if h == nil {
 		return
 	}
-	c := r.cells[r.Self.Zone]
+	c := r.cells[zone]
 	if q.holder == h.Address && q.token == c.claim.Token {
 		return
 	}
@@ -71,9 +85,9 @@
 	if q.holder != "" {
 		r.recordHolderChange(q)
 	}
-	q.holder, q.token, q.offerCount = h.Address, c.claim.Token, 0
+	q.holder, q.token, q.zone, q.offerCount = h.Address, c.claim.Token, zone, 0
 	r.emit(Decision{Action: "offer", Job: q.job.ID, Routine: true, Pairs: []any{
-		"holder", h.Name, "token", q.token, "left", q.deadline.Sub(r.now).String(), "resent", len(q.previousZones) > 0, "tasks", q.job.Count,
+		"holder", h.Name, "zone", zone, "token", q.token, "left", q.deadline.Sub(r.now).String(), "resent", len(q.previousZones) > 0, "tasks", q.job.Count,
 	}})
 	if h.Address == r.Self.Address {
 		r.handleOffer(nil, r.newOffer(q))
@@ -107,6 +121,7 @@
 	return &Offer{
 		Job: q.job, TimeLeft: q.deadline.Sub(r.now), Elapsed: r.now.Sub(q.arrivedAt),
 		Reoffered: len(q.previousZones) > 0, PreviousZones: q.previousZones, Done: q.doneTasks, RunBase: q.runBase, SubmissionID: q.arrivedAt.UnixNano(),
+		Zone: q.zone, Token: q.token,
 	}
 }
 
@@ -117,11 +132,12 @@
 // take over.
 func (r *Router) recordHolderChange(q *request) {
 	for _, zone := range sortedKeys(r.cells) {
-		used := r.sharesCells(zone) || r.cells[zone].claim.Holder.Address == q.holder
+		used := zone == q.zone || r.sharesCells(q.zone) && r.sharesCells(zone) || r.cells[zone].claim.Holder.Address == q.holder
 		if used && !slices.Contains(q.previousZones, zone) {
 			q.previousZones = append(q.previousZones, zone)
 		}
 	}
+	q.doubtfulOffers = append(q.doubtfulOffers, pastOffer{holder: q.holder, token: q.token})
 	q.runBase += runNumberStride
 	q.holder, q.token = "", 0
 }
@@ -138,17 +154,14 @@
 // checkRequests offers requests again if the holder has changed, and answers those that can no
 // longer be served.
 func (r *Router) checkRequests() {
-	h := r.reachableHolder(r.Self.Zone)
 	for _, id := range sortedKeys(r.requestsByJob) {
 		q := r.requestsByJob[id]
 		if q == nil {
 			continue
 		}
-		if h != nil {
-			r.offerRequest(q)
-		}
+		r.offerRequest(q)
 		if r.requestsByJob[id] == q {
-			r.answerIfExpired(q, h != nil)
+			r.answerIfExpired(q)
 		}
 	}
 }
@@ -156,10 +169,12 @@
 // answerIfExpired answers a request if its deadline and answerGrace are over, or if no holder is
 // reachable and the job can no longer finish in time or has waited for more than
 // noHolderRetryAfter without a holder.
-func (r *Router) answerIfExpired(q *request, hasHolder bool) {
+func (r *Router) answerIfExpired(q *request) {
+	zone := r.zoneFor(q)
+	hasHolder := r.reachableHolder(zone) != nil
 	expired := r.now.After(q.deadline.Add(answerGrace))
 	minTime := max(q.job.ExpectedRunTime, minTimeLeft)
-	waitingSince := later(q.arrivedAt, r.cell(r.Self.Zone).holderlessSince)
+	waitingSince := later(q.arrivedAt, r.cell(cmp.Or(zone, r.Self.Zone)).holderlessSince)
 	cannotBeServed := !hasHolder && (r.now.Add(minTime).After(q.deadline) || r.now.Sub(waitingSince) > noHolderRetryAfter)
 	if !expired && !cannotBeServed {
 		return
@@ -183,13 +198,14 @@
 	if q == nil || v.Outcome != Complete && v.SubmissionID != 0 && v.SubmissionID != q.arrivedAt.UnixNano() {
 		return // it belongs to an earlier submission
 	}
-	if q.holder != holder {
-		if v.Outcome == Complete {
-			r.answerAndWithdraw(q, v)
-		}
+	if q.holder != holder || v.Token != 0 && v.Token != q.token {
+		r.handleLateVerdict(q, holder, v)
 		return
 	}
 	switch {
+	case v.Outcome == Returned:
+		q.holder, q.token = "", 0 // checkRequests offers it to the current holder
+		return
 	case v.Outcome == WrongHolder:
 		// The holder did not accept the job, so checkRequests offers it to the current holder.
 		// If it was offered to the same holder more than once, an earlier offer may have been
@@ -201,10 +217,37 @@
 		return
 	case v.Outcome == Refused && len(q.previousZones) > 0:
 		v.Outcome = Unknown // a previous holder may have started it
+	case v.Outcome == Refused && v.Reason == Evacuated && r.offerElsewhere(q):
+		return
 	}
 	r.answerRequest(q, v)
 }
 
+// handleLateVerdict handles the verdict of a previous holder. If none of the previous holders
+// has started the job, the current one need not wait for their runs, and its refusal is true.
+func (r *Router) handleLateVerdict(q *request, holder string, v Verdict) {
+	switch v.Outcome {
+	case Complete:
+		r.answerAndWithdraw(q, v)
+		return
+	case Refused, Returned:
+	default:
+		return
+	}
+	before := len(q.doubtfulOffers)
+	q.doubtfulOffers = slices.DeleteFunc(q.doubtfulOffers, func(o pastOffer) bool { return o == pastOffer{holder: holder, token: v.Token} })
+	if before == 0 || len(q.doubtfulOffers) > 0 {
+		return
+	}
+	q.previousZones = nil
+	r.emit(Decision{Action: "cleared", Job: q.job.ID, Pairs: []any{"holder", holder, "token", v.Token, "reason", v.Reason}})
+	if q.holder == r.Self.Address {
+		r.handleOffer(nil, r.newOffer(q))
+	} else if p := r.peers[q.holder]; p != nil {
+		r.sendOffer(p, q)
+	}
+}
+
 // answerAndWithdraw answers a request that a previous holder has completed after all, and
 // withdraws the job from its current holder.
 func (r *Router) answerAndWithdraw(q *request, v Verdict) {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -103,7 +103,7 @@
 // hold the cell of its zone, or because the job is quarantined, as runs of a previous holder
 // may still be under way. Such a job keeps no capacity from the jobs behind it.
 func (r *Router) cannotStartYet(j *job) bool {
-	c := r.cells[r.zoneOf(j.origin)]
+	c := r.cells[j.zone]
 	return c == nil || !c.heldHere || j.reoffered && !r.isQuarantineOver(j)
 }
 
@@ -117,8 +117,8 @@
 		return true
 	}
 	for _, zone := range j.previousZones {
-		if c := r.cells[zone]; c == nil || !c.heldHere {
-			return false // the zone's targets belong to another holder and may not be listed here
+		if c := r.cells[zone]; c == nil || !c.heldHere || !c.listed {
+			return false // the zone's targets belong to another holder or are not listed here yet
 		}
 	}
 	needsNoWait := func(entry Target) bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,8 @@
 	lastBackgroundHeartbeatAt time.Time        // when a heartbeat was last sent to a background peer
 	lastSharedChangeAt        time.Time        // when a known claim or the evacuations last changed
 	cells                     map[string]*cell // by zone
+	followedZones             map[string]bool  // other zones whose holders this host needs, see followZones
+	claimsRequestedAt         time.Time        // when this host last requested the claims from the store
 	pendingClaim              *pendingClaim    // claim that waits for the store; nil for none
 
 	openRequests  map[uint64]*request // by request number
@@ -142,6 +144,8 @@
 		r.handleRegistered(e)
 	case LearnedStateRead:
 		r.handleLearnedStateRead(e)
+	case ClaimsRead:
+		r.handleClaimsRead(e)
 	case ClaimsWritten:
 		r.handleClaimsWritten(e)
 	case StartAnswered:
@@ -179,6 +183,7 @@
 func (r *Router) handleTick() {
 	r.watchPeers()
 	r.sendDueHeartbeats()
+	r.followZones()
 	r.trackMissingHolders()
 	r.claimCells()
 	r.writeUnwrittenClaims()
--- a/internal/router/share_test.go
+++ b/internal/router/share_test.go
@@ -41,7 +41,7 @@
 		return j
 	}
 	newJob := func(id, route string) *job {
-		return b.router.newJob("10.0.0.1:1", &Offer{Job: spec(id, route), TimeLeft: 5 * time.Second})
+		return b.router.newJob(Member{Address: "10.0.0.1:1", Zone: "north"}, &Offer{Job: spec(id, route), TimeLeft: 5 * time.Second})
 	}
 	exceeding := 0
 	for i := range 100 {
--- /dev/null
+++ b/internal/router/spill_test.go
@@ -0,0 +1,181 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// newSplitBed returns a host of zone north, where each zone has a holder of its own. Its peer
+// b holds north, and c, which the host does not know yet, holds south.
+func newSplitBed(t *testing.T) (b *originBed, remote Member) {
+	t.Helper()
+	b = newOriginBed(t)
+	b.step(EvacuationsRead{RequestedAt: b.now, Evacuations: Evacuations{Version: 1}})
+	remote = Member{Name: "c", Zone: "south", Address: "10.0.0.3:1", Incarnation: 1, Slot: 3}
+	b.router.cell("south")
+	b.router.totalTargets = b.router.Bounds.MaxSharedTargets + 1
+	b.advance(b.router.Bounds.PeerTimeout, 1)
+	require.True(t, b.router.holderPerZone)
+	return b, remote
+}
+
+// reachRemote delivers the claim of the other zone's holder from the store and its answer to
+// the first heartbeat.
+func (b *originBed) reachRemote(remote Member) []Effect {
+	claim := Claim{Zone: remote.Zone, Token: 9 << (slotBits + slotUseBits), Holder: remote}
+	b.step(ClaimsRead{Claims: []StoredClaim{{Claim: claim, Version: 3}}})
+	b.step(Tick{})
+	heartbeat := &Heartbeat{Member: remote, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), Claims: []Claim{claim}}
+	effects := b.step(Receive{From: remote.Address, Message: Message{Heartbeat: heartbeat}})
+	return append(effects, b.step(Tick{})...)
+}
+
+// TestHostOfEvacuatedZoneOffersElsewhere: a host whose zone is evacuated looks for the holder
+// of another zone and offers it new jobs, and those that its own holder had not started. A
+// job stays with the holder that has it after the evacuation.
+func TestHostOfEvacuatedZoneOffersElsewhere(t *testing.T) {
+	b, remote := newSplitBed(t)
+	require.Len(t, offers(b.step(Submit{Request: 1, Job: twoTaskJob("queued"), Budget: 5 * time.Second})), 1)
+	b.evacuate(5, "north")
+	assert.NotEmpty(t, effectsOf[ReadClaims](b.step(Tick{})))
+	assert.Empty(t, answers(b.receiveVerdict(Verdict{ID: "queued", Outcome: Refused, Reason: Evacuated})), "another zone may have room")
+	assert.Empty(t, offers(b.step(Submit{Request: 2, Job: twoTaskJob("new"), Budget: 5 * time.Second})))
+	sent := offers(b.reachRemote(remote))
+	require.Len(t, sent, 2)
+	for _, o := range sent {
+		assert.Equal(t, "south", o.Zone)
+		assert.False(t, o.Reoffered)
+	}
+	b.evacuate(6)
+	assert.Empty(t, offers(b.advance(b.router.Bounds.HeartbeatInterval, 1)))
+	assert.True(t, b.router.followedZones["south"], "jobs are open there")
+	assert.Equal(t, "north", offers(b.step(Submit{Request: 3, Job: twoTaskJob("after"), Budget: 5 * time.Second}))[0].Zone)
+}
+
+// TestUnreachableZonesLeadToRefusal: a host of an evacuated zone that is cut off from the
+// other zones must refuse jobs truthfully, and at once if every zone is evacuated.
+func TestUnreachableZonesLeadToRefusal(t *testing.T) {
+	b, _ := newSplitBed(t)
+	b.evacuate(5, "north")
+	b.step(Submit{Request: 1, Job: twoTaskJob("a"), Budget: 5 * time.Second})
+	got := answers(b.advance(noHolderRetryAfter+2*b.router.Bounds.TickInterval, 1))
+	require.Len(t, got, 1)
+	assert.Equal(t, Refused, got[0].Outcome)
+	assert.Positive(t, got[0].RetryAfter)
+	b.evacuate(6, "north", "south")
+	require.Len(t, offers(b.step(Submit{Request: 2, Job: twoTaskJob("b"), Budget: 5 * time.Second})), 1)
+	got = answers(b.receiveVerdict(Verdict{ID: "b", Outcome: Refused, Reason: Evacuated}))
+	require.Len(t, got, 1)
+	assert.Equal(t, Evacuated, got[0].Reason)
+}
+
+// TestHolderServesJobsOfOtherZone: a holder must accept a job that a host of another zone
+// offers for the cell that it holds, and answer that host.
+func TestHolderServesJobsOfOtherZone(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	guest := Member{Name: "g", Zone: "south", Address: "10.0.0.9:1", Incarnation: 1, Slot: 9}
+	b.step(Receive{From: guest.Address, Message: Message{Heartbeat: &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
+	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, Zone: "north", Token: b.router.cells["north"].claim.Token, SubmissionID: 4}
+	assert.Len(t, effectsOf[Start](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}})), 2)
+	offer.Job.ID, offer.Zone = "k", ""
+	verdicts := effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}}))
+	require.Len(t, verdicts, 1)
+	assert.Equal(t, WrongHolder, verdicts[0].Message.Verdict.Outcome, "the host's own zone has another holder")
+}
+
+// newDoubtfulRequest returns a host that has offered job j to its peer and then, under a newer
+// claim, to another host c. It returns the two offers.
+func newDoubtfulRequest(t *testing.T) (b *originBed, next Member, first, second Offer) {
+	t.Helper()
+	b = newOriginBed(t)
+	b.advance(b.router.Bounds.PeerTimeout, 1)
+	sent := offers(b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second}))
+	require.Len(t, sent, 1)
+	next = Member{Name: "c", Zone: "north", Address: "10.0.0.3:1", Incarnation: 1, Slot: 3}
+	heartbeat := &Heartbeat{
+		Member: next, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(),
+		Claims: []Claim{{Zone: "north", Token: 9 << (slotBits + slotUseBits), Holder: next}},
+	}
+	repeated := offers(b.step(Receive{From: next.Address, Message: Message{Heartbeat: heartbeat}}))
+	require.Len(t, repeated, 1)
+	require.True(t, repeated[0].Reoffered)
+	return b, next, sent[0], repeated[0]
+}
+
+// TestTrueRefusalOfPreviousHolderCountsAfterChange: if every previous holder tells that it has
+// not started a job, the current holder is told so, and its refusal is reported as one.
+func TestTrueRefusalOfPreviousHolderCountsAfterChange(t *testing.T) {
+	for _, outcome := range []Outcome{Refused, Returned} {
+		b, next, first, second := newDoubtfulRequest(t)
+		cleared := offers(b.receiveVerdict(Verdict{ID: "j", Outcome: outcome, Reason: Overload, SubmissionID: first.SubmissionID, Token: first.Token}))
+		require.Len(t, cleared, 1)
+		assert.False(t, cleared[0].Reoffered)
+		refusal := Verdict{ID: "j", Outcome: Refused, Reason: Expired, SubmissionID: second.SubmissionID, Token: second.Token}
+		got := answers(b.step(Receive{From: next.Address, Message: Message{Verdict: &refusal}}))
+		require.Len(t, got, 1)
+		assert.Equal(t, Refused, got[0].Outcome, outcome)
+	}
+}
+
+// TestRefusalOfOtherClaimLeavesDoubt: a refusal that belongs to another claim, or the answer
+// of a host that does not hold the cell, does not tell that the job was not started.
+func TestRefusalOfOtherClaimLeavesDoubt(t *testing.T) {
+	for _, v := range []Verdict{
+		{ID: "j", Outcome: Refused, Token: 77},
+		{ID: "j", Outcome: WrongHolder},
+		{ID: "j", Outcome: Unknown},
+	} {
+		b, next, first, second := newDoubtfulRequest(t)
+		v.SubmissionID = first.SubmissionID
+		if v.Token == 0 {
+			v.Token = first.Token
+		}
+		assert.Empty(t, offers(b.receiveVerdict(v)))
+		refusal := Verdict{ID: "j", Outcome: Refused, SubmissionID: second.SubmissionID, Token: second.Token}
+		got := answers(b.step(Receive{From: next.Address, Message: Message{Verdict: &refusal}}))
+		require.Len(t, got, 1)
+		assert.Equal(t, Unknown, got[0].Outcome, v.Outcome)
+	}
+}
+
+// TestLostCellReturnsUnstartedJobs: a holder that loses its cell must give jobs of which no
+// task has started back at once, and start none of them later. Jobs that have started stay
+// for the next holder to take over.
+func TestLostCellReturnsUnstartedJobs(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	guest := Member{Name: "g", Zone: "north", Address: "10.0.0.9:1", Incarnation: 1, Slot: 9}
+	heartbeat := &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}
+	b.step(Receive{From: guest.Address, Message: Message{Heartbeat: heartbeat}})
+	token := b.router.cells["north"].claim.Token
+	for _, id := range []string{"started", "waiting"} {
+		j := twoTaskJob(id)
+		j.ExpectedRunTime, j.Stretch = time.Second, 9
+		b.step(Receive{From: guest.Address, Message: Message{Offer: &Offer{Job: j, TimeLeft: 50 * time.Second, Token: token, SubmissionID: 4}}})
+	}
+	heartbeat.Claims = []Claim{{Zone: "north", Token: token << 1, Holder: guest}}
+	var returned []string
+	for _, e := range effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Heartbeat: heartbeat}})) {
+		if v := e.Message.Verdict; v != nil && v.Outcome == Returned {
+			returned = append(returned, v.ID)
+			assert.Equal(t, token, v.Token)
+		}
+	}
+	assert.Equal(t, []string{"waiting"}, returned)
+	assert.Empty(t, effectsOf[Start](b.advance(time.Second)))
+}
+
+// TestClearedJobNeedNotWait: a job that waits for runs of previous holders starts as soon as
+// its host tells that they have not started it.
+func TestClearedJobNeedNotWait(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	b.router.previousTargets["gone"] = &previousTarget{target: Target{ID: "gone", Zone: "north"}, reportedAt: b.now}
+	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 9 * time.Second, Reoffered: true, PreviousZones: []string{"north"}, SubmissionID: 4}
+	b.router.handleOffer(nil, &offer)
+	require.Empty(t, effectsOf[Start](b.step(Tick{})))
+	offer.Reoffered, offer.PreviousZones = false, nil
+	b.router.handleOffer(nil, &offer)
+	assert.Len(t, effectsOf[Start](b.step(Tick{})), 2)
+}
