--- a/internal/modeler/site.go
+++ b/internal/modeler/site.go
@@ -31,6 +31,23 @@
 	}
 }
 
+// Coarse returns a site whose tasks take half of a target on average, so that half of all pairs
+// of tasks do not fit one target, with a holder for each zone. Few attempts are allowed.
+func Coarse() Simulation {
+	sim := Restrepo()
+	sim.Size.HostsPerZone, sim.Size.TargetsPerZone = 3, 40
+	sim.Size.TargetCapacity = router.Resources{CPU: 64000, Memory: 131072}
+	sim.Bounds.MaxSharedTargets = sim.Size.TargetsPerZone
+	sim.Kinds = DefaultKinds(32000)
+	for i, k := range []struct {
+		rate, benefit float64
+		attempts      int
+	}{{52.8, 0.00485, 3}, {16.7, 0.0267, 4}, {154.3, 0.00167, 2}} {
+		sim.Kinds[i].Rate, sim.Kinds[i].Benefit, sim.Kinds[i].MaxAttempts = k.rate, k.benefit, k.attempts
+	}
+	return sim
+}
+
 // Kutchwala returns a site whose targets have half the capacity of Restrepo's, with longer
 // network delays between zones.
 func Kutchwala() Simulation {
