internal/router: changes of the directory between hosts; admission by what is free

A holder now sends a peer with a recent version the changes only, at most once a second, and an origin sends a new holder the targets that it may not know. A directory with retained targets is sent whole, since its version does not identify it.

A job was refused for the work queued before it although its tasks fit free room that the queue's larger tasks cannot use. What could start now no longer waits for the queue.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -156,17 +156,27 @@
 // are placed before it. free is the number of the job's tasks that could start now, total the
 // CPU of the targets in thousandths of a core.
 func (r *Router) estimateWait(j *job, free, total int) time.Duration {
-	work := j.pendingWork() * queuePackingRatio / ownPackingRatio
-	ahead := 0
+	if free >= j.waitingCount {
+		return 0
+	}
+	ahead := 0.0
 	for _, other := range r.queue.Items() {
 		if other.spec.Service == j.spec.Service && r.isPlacedBefore(other, j) && !r.cannotStartYet(other) {
-			ahead += other.waitingCount
-			work += other.pendingWork()
+			ahead += other.pendingWork()
 		}
 	}
-	if free >= ahead+j.waitingCount {
+	return r.waitBehind(j, ahead, free, total)
+}
+
+// waitBehind returns how long the last task of a job is expected to wait behind the given work,
+// in thousandths of a core times seconds. The tasks that could start now do not wait: the tasks
+// of the queue have been tried at the targets and do not fit what is free.
+func (r *Router) waitBehind(j *job, ahead float64, free, total int) time.Duration {
+	if free >= j.waitingCount {
 		return 0
 	}
+	waitingShare := float64(j.waitingCount-free) / float64(j.waitingCount)
+	work := ahead + j.pendingWork()*waitingShare*queuePackingRatio/ownPackingRatio
 	return r.backlogWait(work, total)
 }
 
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -111,6 +111,10 @@
 	// Total is the number of targets in all zones, even if Targets has only those of
 	// one zone; 0 means len(Targets).
 	Total int `cbor:"3,keyasint,omitempty"`
+
+	// merged is true if targets of an earlier version were retained, so that the version does
+	// not identify the list.
+	merged bool
 }
 
 // targetCount returns the number of targets in all zones.
@@ -119,8 +123,11 @@
 // hasSameTargets reports whether two directories list the same targets in the same
 // state.
 func (d Directory) hasSameTargets(other Directory) bool {
-	return d.targetCount() == other.targetCount() && slices.EqualFunc(d.Targets, other.Targets, func(a, b Target) bool {
-		return a.ID == b.ID && a.Address == b.Address && a.Service == b.Service && a.Zone == b.Zone &&
-			a.Draining == b.Draining && a.Capacity == b.Capacity && a.StartedAt == b.StartedAt && slices.Equal(a.Labels, b.Labels)
-	})
+	return d.targetCount() == other.targetCount() && slices.EqualFunc(d.Targets, other.Targets, Target.isSame)
+}
+
+// isSame reports whether two entries are equal.
+func (t Target) isSame(other Target) bool {
+	return t.ID == other.ID && t.Address == other.Address && t.Service == other.Service && t.Zone == other.Zone &&
+		t.Draining == other.Draining && t.Capacity == other.Capacity && t.StartedAt == other.StartedAt && slices.Equal(t.Labels, other.Labels)
 }
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -100,7 +100,7 @@
 func (r *Router) retainMissingTargets(d *Directory) {
 	for _, old := range r.directory.Targets {
 		if !slices.ContainsFunc(d.Targets, func(t Target) bool { return t.ID == old.ID }) {
-			d.Targets = append(d.Targets, old)
+			d.Targets, d.merged = append(d.Targets, old), true
 		}
 	}
 }
@@ -128,6 +128,7 @@
 		"version", d.Version, "total", d.targetCount(), "targets", len(d.Targets), "before", len(r.directory.Targets), "source", source, "age", r.formatAge(requestedAt),
 	}})
 	r.recordUnlistedTargets(d)
+	r.logDirectoryChanges(d)
 	r.directory = d
 	r.dropUnlistedStandby()
 	for _, entry := range d.Targets {
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -81,35 +81,27 @@
 	if r.queue.Len() == 0 || r.Policy.Admission == AdmitAll {
 		return
 	}
-	backlogs := make(map[string]backlog)
+	ahead := make(map[string]float64) // work of the jobs that are kept, by service
 	for _, j := range r.orderedQueue() {
-		ahead := backlogs[j.spec.Service]
 		if !j.mayHaveStarted && !j.reoffered && !r.cannotStartYet(j) {
-			if v, refused := r.recheckAdmission(j, ahead); refused {
+			if v, refused := r.recheckAdmission(j, ahead[j.spec.Service]); refused {
 				r.endJob(j, v)
 				continue
 			}
 		}
-		backlogs[j.spec.Service] = backlog{tasks: ahead.tasks + j.waitingCount, work: ahead.work + j.pendingWork()}
+		ahead[j.spec.Service] += j.pendingWork()
 	}
 }
 
-// backlog is the waiting work of queued jobs: the number of tasks, and their work in
-// thousandths of a core times seconds.
-type backlog struct {
-	tasks int
-	work  float64
-}
-
 // recheckAdmission decides whether a queued job that has not started is refused after all,
-// given the work that is placed before it.
-func (r *Router) recheckAdmission(j *job, ahead backlog) (Verdict, bool) {
+// given the work that is placed before it, in thousandths of a core times seconds.
+func (r *Router) recheckAdmission(j *job, ahead float64) (Verdict, bool) {
 	if v, refused := r.refuseEvacuated(j); refused {
 		return v, true
 	}
 	free, total := r.capacity(&j.spec)
-	wait := r.backlogWait(ahead.work+j.pendingWork()*queuePackingRatio/ownPackingRatio, total)
-	if free >= ahead.tasks+j.waitingCount || !r.now.Add(wait).After(r.admissionBound(j)) {
+	wait := r.waitBehind(j, ahead, free, total)
+	if !r.now.Add(wait).After(r.admissionBound(j)) {
 		return Verdict{}, false
 	}
 	return Verdict{Outcome: Refused, Reason: Overload, RetryAfter: min(max(r.now.Add(wait).Sub(j.latestStart), minRetryAfter), maxRetryAfter)}, true
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -13,6 +13,8 @@
 	Directory *Directory `cbor:"7,keyasint,omitempty"`
 	// PreviousTargets are the targets to which a previous holder may have given tasks.
 	PreviousTargets []Target `cbor:"8,keyasint,omitempty"`
+	// DirectoryChanges replaces Directory for a peer with a recent version.
+	DirectoryChanges *DirectoryChanges `cbor:"9,keyasint,omitempty"`
 }
 
 // Kind returns the name of the field that is set, as a metric label.
@@ -34,6 +36,8 @@
 		return "directory"
 	case m.PreviousTargets != nil:
 		return "former"
+	case m.DirectoryChanges != nil:
+		return "changes"
 	}
 	return "unknown"
 }
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -110,7 +110,9 @@
 func (r *Router) sendOffer(p *peer, q *request) {
 	if len(q.previousZones) > 0 && p.previousTargetsSentToken < q.token {
 		p.previousTargetsSentToken = q.token
-		r.send(p, Message{PreviousTargets: r.knownTargets(q.previousZones)})
+		if targets := r.targetsUnknownTo(p, q.previousZones); len(targets) > 0 {
+			r.send(p, Message{PreviousTargets: targets})
+		}
 	}
 	r.send(p, Message{Offer: r.newOffer(q)})
 }
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -127,6 +127,8 @@
 		r.adoptConfig(m.Config, "peer")
 	case m.Directory != nil:
 		r.handleDirectory(p, *m.Directory)
+	case m.DirectoryChanges != nil:
+		r.handleDirectoryChanges(p, *m.DirectoryChanges)
 	case m.PreviousTargets != nil:
 		r.handlePreviousTargets(m.PreviousTargets)
 	}
@@ -216,8 +218,7 @@
 	}
 	if r.holdsAnyCell() && r.sharesCells(p.member.Zone) && p.directoryVersion < r.directory.Version && r.isDirectoryDue(p) {
 		p.directorySentAt, p.sentDirectoryVersion = r.now, r.directory.Version
-		d := r.directory
-		r.send(p, Message{Directory: &d})
+		r.send(p, r.directoryMessage(p.directoryVersion))
 	}
 }
 
@@ -234,10 +235,12 @@
 	// stateResendInterval is the delay before a configuration or directory is sent
 	// again to a peer that still lacks it.
 	stateResendInterval = 500 * time.Millisecond
-	// directoryResendInterval is the interval at which a changed directory is sent to
-	// peers that are not hubs (see hubAddresses): the 80 KB of 540 targets take a quarter
-	// of a second on a link of 2.5 Mbit/s.
-	directoryResendInterval = 5 * time.Second
+	// directoryResendInterval is the interval at which changes of the directory are sent to
+	// peers that are not hubs (see hubAddresses).
+	directoryResendInterval = time.Second
+	// wholeDirectoryInterval replaces directoryResendInterval for peers that need the whole
+	// directory: the 80 KB of 540 targets take a quarter of a second on a link of 2.5 Mbit/s.
+	wholeDirectoryInterval = 5 * time.Second
 )
 
 // configSendDelay returns how long after adopting a configuration this host waits
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,6 +38,7 @@
 	previousTargets      map[string]*previousTarget // targets from other hosts' lists or from replaced directories, by ID
 	directoryReadAt      time.Time                  // when this host requested the directory that it last read from the store
 	directoryRequestedAt time.Time                  // when this host last requested the directory
+	directoryLog         []DirectoryChanges         // changes between the last versions of the directory, oldest first
 	directoryReadPending bool                       // a read of the directory is under way
 	storeOutageSince     time.Time                  // when reads of the directory began to fail; zero while they succeed
 	storeReturnedAt      time.Time                  // when the store became available after its last long outage
--- a/internal/router/sighting.go
+++ b/internal/router/sighting.go
@@ -32,6 +32,16 @@
 	}
 }
 
+// targetsUnknownTo returns the targets of some zones that a peer may not know: the previous
+// ones, and the listed ones unless the peer has the same directory.
+func (r *Router) targetsUnknownTo(p *peer, zones []string) []Target {
+	targets := r.knownTargets(zones)
+	if p.directoryVersion != r.directory.Version || r.directory.merged {
+		return targets
+	}
+	return slices.DeleteFunc(targets, func(t Target) bool { return r.previousTargets[t.ID] == nil })
+}
+
 // knownTargets returns the listed and previous targets of some zones.
 func (r *Router) knownTargets(zones []string) []Target {
 	list := slices.Clone(r.directory.Targets)
