internal/router: jobs refused for overload go to a zone that has room

A holder now follows the holders of two neighbour zones, whose heartbeats tell how many tasks of average size fit there, and names such a zone in a refusal; the job's own host, which alone knows that nothing of it runs, offers it there. Forwarding by the holder was ruled out: after its loss the next holder would not know that a job runs in another zone.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -102,7 +102,7 @@
 	need.CPU = min(int(float64(need.CPU)*math.Exp(0.2*normalRandom())), need.CPU*3/2)
 	c := &client{
 		sim: sm, id: fmt.Sprintf("%016x", sm.lastIDNumber), kind: k, taskSeconds: taskSeconds, sentAt: sm.now,
-		zone: sm.Size.Zones[sm.jobRandom.IntN(len(sm.Size.Zones))],
+		zone: sm.drawZone(),
 	}
 	maxFactor := 0.0
 	for range count {
@@ -122,6 +122,20 @@
 	c.send()
 }
 
+// drawZone draws the zone of a client.
+func (sm *Simulation) drawZone() string {
+	if len(sm.Size.ZoneShares) == 0 {
+		return sm.Size.Zones[sm.jobRandom.IntN(len(sm.Size.Zones))]
+	}
+	x := sm.jobRandom.Float64()
+	for i, share := range sm.Size.ZoneShares {
+		if x -= share; x < 0 {
+			return sm.Size.Zones[i]
+		}
+	}
+	return sm.Size.Zones[len(sm.Size.Zones)-1]
+}
+
 // send submits the job to a random host of the client's zone that is up and not leaving, or
 // of the first other zone that has such a host. If no zone has one, it schedules a resend. It
 // records a violation if there is no answer within a second after the client's timeout,
--- a/internal/modeler/site.go
+++ b/internal/modeler/site.go
@@ -36,6 +36,7 @@
 func Coarse() Simulation {
 	sim := Restrepo()
 	sim.Size.HostsPerZone, sim.Size.TargetsPerZone = 3, 40
+	sim.Size.ZoneShares = []float64{0.317, 0.386, 0.297}
 	sim.Size.TargetCapacity = router.Resources{CPU: 64000, Memory: 131072}
 	sim.Bounds.MaxSharedTargets = sim.Size.TargetsPerZone
 	sim.Kinds = DefaultKinds(32000)
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -15,7 +15,9 @@
 
 // DeploymentSize describes the zones, hosts, targets and network delays of a deployment.
 type DeploymentSize struct {
-	Zones          []string
+	Zones []string
+	// ZoneShares are the shares of the jobs by zone of their client; empty means equal shares.
+	ZoneShares     []float64
 	HostsPerZone   int
 	TargetsPerZone int
 	// TargetCapacity is the capacity of a default target. Every third target of a zone is large
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -65,6 +65,7 @@
 	if v, refused := r.refuseEvacuated(j); refused {
 		return v, true
 	}
+	r.recordNeed(j)
 	free, total := r.capacity(&j.spec)
 	j.exceedsShare = r.exceedsFairShare(j, total)
 	wait := seconds(r.estimateWait(j, free, total).Seconds() * r.waitWeight(j))
@@ -90,6 +91,15 @@
 	return j.latestStart
 }
 
+// recordNeed adds the CPU need of a job's tasks to the mean.
+func (r *Router) recordNeed(j *job) {
+	need := float64(j.spec.Need.CPU)
+	if r.meanNeed == 0 {
+		r.meanNeed = need
+	}
+	r.meanNeed += (need - r.meanNeed) / workWindow
+}
+
 // waitWeight returns the factor on a job's estimated wait, and adds the job to its route's mean
 // work. A job with more work than the mean of its route is refused earlier, because the same
 // work completes several smaller jobs.
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -89,6 +89,9 @@
 	Config       uint64        `cbor:"7,keyasint"`
 	Directory    uint64        `cbor:"8,keyasint"`
 	DirectoryAge time.Duration `cbor:"9,keyasint"`
+	// Room is how many more tasks of average size the targets of the sender's cell could start
+	// now, if the sender holds it; 0 if tasks wait there.
+	Room int `cbor:"16,keyasint,omitempty"`
 	// TargetCount is the number of targets in that version of the directory, in all
 	// zones.
 	TargetCount int `cbor:"14,keyasint,omitempty"`
@@ -220,6 +223,8 @@
 	SubmissionID int64 `cbor:"5,keyasint,omitempty"`
 	// Token is the token of the claim under which the job was offered; 0 means unknown.
 	Token uint64 `cbor:"6,keyasint,omitempty"`
+	// Elsewhere is a zone whose targets have room for a job that was refused for overload.
+	Elsewhere string `cbor:"7,keyasint,omitempty"`
 }
 
 // Progress reports done tasks to the job's host, so that another holder need not run
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -26,6 +26,11 @@
 	previousZones []string
 	// doubtfulOffers are the offers to previous holders that may have started the job.
 	doubtfulOffers []pastOffer
+	// spillZone is the zone that has room for the job, according to refusal, the verdict of the
+	// own zone's holder at spillStartedAt. Empty means that the job was not refused.
+	spillZone      string
+	refusal        Verdict
+	spillStartedAt time.Time
 	// evacuatedZones are the zones whose holders refused the job because they are evacuated.
 	evacuatedZones []string
 	doneTasks      []int
@@ -174,6 +179,10 @@
 func (r *Router) answerIfExpired(q *request) {
 	zone := r.zoneFor(q)
 	hasHolder := r.reachableHolder(zone) != nil
+	if q.spillZone != "" && q.holder == "" && len(q.previousZones) == 0 && r.now.Sub(q.spillStartedAt) > maxSpillWait {
+		r.answerRequest(q, q.refusal)
+		return
+	}
 	expired := r.now.After(q.deadline.Add(answerGrace))
 	minTime := max(q.job.ExpectedRunTime, minTimeLeft)
 	waitingSince := later(q.arrivedAt, r.cell(cmp.Or(zone, r.Self.Zone)).holderlessSince)
@@ -221,6 +230,9 @@
 		v.Outcome = Unknown // a previous holder may have started it
 	case v.Outcome == Refused && v.Reason == Evacuated && r.offerElsewhere(q):
 		return
+	case v.Outcome == Refused && v.Elsewhere != "" && q.spillZone == "":
+		r.spillRequest(q, v)
+		return
 	}
 	r.answerRequest(q, v)
 }
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -18,7 +18,9 @@
 	// leaving is true while the peer shuts down.
 	leaving bool
 	// reachesHolder is true if the peer reaches the holder of its zone's cell.
-	reachesHolder    bool
+	reachesHolder bool
+	// room is the peer's last reported Room less what was sent there since.
+	room             int
 	configVersion    uint64
 	directoryVersion uint64
 	directoryAge     time.Duration
@@ -155,6 +157,7 @@
 		p.lastEchoedAt = echo
 	}
 	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
+	p.room = heartbeat.Room
 	r.generation = max(r.generation, heartbeat.Generation)
 	r.updateTotalTargets(heartbeat.Directory, heartbeat.TargetCount)
 	if heartbeat.Evacuations != nil {
@@ -347,7 +350,7 @@
 	}
 	return Heartbeat{
 		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leavingSince.IsZero(), ReachesHolder: r.reachableHolder(r.Self.Zone) != nil, Generation: r.generation,
-		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge,
+		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Room: r.room(),
 	}
 }
 
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -40,6 +40,8 @@
 	StartRetry Mechanism = "repeats"
 	// SuspectHolderAvoidance offers no jobs to a holder whose heartbeat is overdue.
 	SuspectHolderAvoidance Mechanism = "suspects"
+	// OverloadSpill offers jobs that are refused for overload to a zone that has room.
+	OverloadSpill Mechanism = "spill"
 	// StandbyConnections keeps connections to the targets open at the holder's successors.
 	StandbyConnections Mechanism = "standby"
 )
@@ -47,7 +49,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, StandbyConnections,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,23 +43,24 @@
 	storeOutageSince     time.Time                  // when reads of the directory began to fail; zero while they succeed
 	storeReturnedAt      time.Time                  // when the store became available after its last long outage
 
-	slotUses                  int              // count of the slot's uses; distinguishes the tokens of this incarnation from earlier ones
-	generation                uint64           // highest known generation
-	peers                     map[string]*peer // by address
-	maxLinkRate               int              // link rate of the fastest known host, in kilobits a second
-	totalTargets              int              // number of targets in the newest known version of the directory
-	totalTargetsVersion       uint64           // that version
-	lastHostLossAt            time.Time        // when the loss of a host was last detected
-	holderPerZone             bool             // each zone has a holder of its own; otherwise one host holds all cells
-	hubs                      map[string]bool  // addresses of the hosts that all hosts of the cells monitor
-	fullMesh                  bool             // every host of the cells monitors every other
-	lastHeartbeatAt           time.Time        // when heartbeats were last sent to the monitored peers
-	lastBackgroundHeartbeatAt time.Time        // when a heartbeat was last sent to a background peer
-	lastSharedChangeAt        time.Time        // when a known claim or the evacuations last changed
-	cells                     map[string]*cell // by zone
-	followedZones             map[string]bool  // other zones whose holders this host needs, see followZones
-	claimsRequestedAt         time.Time        // when this host last requested the claims from the store
-	pendingClaim              *pendingClaim    // claim that waits for the store; nil for none
+	slotUses                  int                  // count of the slot's uses; distinguishes the tokens of this incarnation from earlier ones
+	generation                uint64               // highest known generation
+	peers                     map[string]*peer     // by address
+	maxLinkRate               int                  // link rate of the fastest known host, in kilobits a second
+	totalTargets              int                  // number of targets in the newest known version of the directory
+	totalTargetsVersion       uint64               // that version
+	lastHostLossAt            time.Time            // when the loss of a host was last detected
+	holderPerZone             bool                 // each zone has a holder of its own; otherwise one host holds all cells
+	hubs                      map[string]bool      // addresses of the hosts that all hosts of the cells monitor
+	fullMesh                  bool                 // every host of the cells monitors every other
+	lastHeartbeatAt           time.Time            // when heartbeats were last sent to the monitored peers
+	lastBackgroundHeartbeatAt time.Time            // when a heartbeat was last sent to a background peer
+	lastSharedChangeAt        time.Time            // when a known claim or the evacuations last changed
+	cells                     map[string]*cell     // by zone
+	followedZones             map[string]bool      // other zones whose holders this host needs, see followZones
+	spilledAt                 map[string]time.Time // when a job was last sent to another zone, by zone
+	claimsRequestedAt         time.Time            // when this host last requested the claims from the store
+	pendingClaim              *pendingClaim        // claim that waits for the store; nil for none
 
 	openRequests  map[uint64]*request // by request number
 	requestsByJob map[string]*request // by job ID
@@ -73,6 +74,7 @@
 	routeModels         map[string]*history   // by route
 	kindSpeeds          map[string]*KindSpeed // by kind of target
 	meanWorkByRoute     map[string]float64    // mean work of a job, by route
+	meanNeed            float64               // mean CPU need of a task, in thousandths of a core
 	routeShares         map[string]*share     // by route
 	learnedStateSentAt  time.Time             // when learned state was last sent to peers
 	learnedStateSavedAt time.Time             // when learned state was last saved to the store
@@ -115,6 +117,7 @@
 	r.routeModels = make(map[string]*history)
 	r.lostJobsDropAt = make(map[string]time.Time)
 	r.previousTargets = make(map[string]*previousTarget)
+	r.spilledAt = make(map[string]time.Time)
 	r.standbyUsedAt = make(map[string]time.Time)
 	r.kindSpeeds = make(map[string]*KindSpeed)
 	r.meanWorkByRoute = make(map[string]float64)
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -11,10 +11,25 @@
 // followed zone reads the claims from the store: the time of a takeover.
 const claimsReadInterval = 400 * time.Millisecond
 
+const (
+	// maxNeighbours is the number of zones whose holders a holder follows, to know where there
+	// is room. It is constant, so that the heartbeats of a holder do not grow with the zones.
+	maxNeighbours = 2
+	// minSpillRoom is the room, in tasks of average size beyond those of the job, that a zone
+	// must have to be given jobs of another zone.
+	minSpillRoom = 4
+	// maxSpillWait is how long a job that was refused waits for a connection to the zone that
+	// has room. Opening one takes 20 ms at a small processor share.
+	maxSpillWait = 100 * time.Millisecond
+	// spillFollowDuration is how long a host stays connected to a zone that was given a job.
+	spillFollowDuration = 10 * time.Second
+)
+
 // followZones decides which other zones' holders this host needs, and looks for those that it
 // does not reach. Where each zone has a holder of its own, the holder of an evacuated zone has
-// no targets, so the zone's hosts offer their jobs to the holders of the other zones. They
-// follow these until no request is open there.
+// no targets, so the zone's hosts offer their jobs to the holders of the other zones. A holder
+// that is overloaded names a zone that has room in its refusal, and the job's host offers the
+// job there. Hosts follow a zone until no request is open there.
 func (r *Router) followZones() {
 	r.followedZones = r.zonesToFollow()
 	missing := false
@@ -44,6 +59,16 @@
 		}
 		zones[zone] = true
 	}
+	for zone, at := range r.spilledAt {
+		if r.now.Sub(at) < spillFollowDuration {
+			follow(zone)
+		}
+	}
+	if c := r.cells[r.Self.Zone]; c != nil && c.heldHere {
+		for _, zone := range r.neighbourZones() {
+			follow(zone)
+		}
+	}
 	if r.isEvacuated(r.Self.Zone) {
 		for zone := range r.cells {
 			if zone != r.Self.Zone && !r.isEvacuated(zone) {
@@ -77,6 +102,9 @@
 	if q.holder != "" {
 		return q.zone
 	}
+	if q.spillZone != "" {
+		return q.spillZone
+	}
 	if !r.servesElsewhere() {
 		return r.Self.Zone
 	}
@@ -119,3 +147,67 @@
 	}
 	return false
 }
+
+// neighbourZones returns the other open zones whose holders the holder of this zone follows:
+// the next ones in the order of names.
+func (r *Router) neighbourZones() []string {
+	zones := sortedKeys(r.cells)
+	self, _ := slices.BinarySearch(zones, r.Self.Zone)
+	var neighbours []string
+	for i := 1; i < len(zones) && len(neighbours) < maxNeighbours; i++ {
+		if zone := zones[(self+i)%len(zones)]; !r.isEvacuated(zone) {
+			neighbours = append(neighbours, zone)
+		}
+	}
+	return neighbours
+}
+
+// room returns how many more tasks of average size this host's targets could start now.
+func (r *Router) room() int {
+	c := r.cells[r.Self.Zone]
+	if !r.holderPerZone || c == nil || !c.heldHere || r.meanNeed < 1 || r.queue.Len() > 0 {
+		return 0
+	}
+	room := 0
+	for _, t := range r.sortedTargets {
+		if r.isUsable(t) {
+			room += int(float64(t.Capacity.CPU-t.used.CPU) / r.meanNeed)
+		}
+	}
+	return room
+}
+
+// zoneWithRoom returns the neighbour zone with the most room for a job that is refused here, or
+// "" if none has enough. The room that a holder reports is reduced by what is sent there until
+// its next heartbeat.
+func (r *Router) zoneWithRoom(j *job) string {
+	if !r.holderPerZone || !r.isEnabled(OverloadSpill) {
+		return ""
+	}
+	var best *peer
+	bestZone := ""
+	for _, zone := range sortedKeys(r.followedZones) {
+		holder := r.reachableHolder(zone)
+		if holder == nil || r.isEvacuated(zone) {
+			continue
+		}
+		if p := r.peers[holder.Address]; p != nil && (best == nil || p.room > best.room) {
+			best, bestZone = p, zone
+		}
+	}
+	if best == nil || best.room < j.spec.Count+minSpillRoom {
+		return ""
+	}
+	best.room -= j.spec.Count
+	return bestZone
+}
+
+// spillRequest offers a request that its holder refused for overload to the holder of the zone
+// that has room. If that cannot be reached in time, the refusal is the answer.
+func (r *Router) spillRequest(q *request, refusal Verdict) {
+	q.spillZone, q.refusal, q.spillStartedAt = refusal.Elsewhere, refusal, r.now
+	q.holder, q.token = "", 0
+	r.spilledAt[q.spillZone] = r.now
+	r.followZones()
+	r.offerRequest(q)
+}
