internal/router: waiting tasks count against the room of a zone

In place of no room while any task waits and four tasks in reserve.

Tried on the way and not taken: stragglers started again elsewhere by their siblings' run times.

--- a/internal/modeler/load_test.go
+++ b/internal/modeler/load_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/shallotrouter/shallotrouter/internal/router"
 )
 
 // heaviestLoad is the heaviest expected load of the platform's sites, as a factor of the
@@ -65,6 +67,27 @@
 	}
 }
 
+// TestBusyZoneUsesRoomOfOthers checks that clients of the zone with the most jobs are served by
+// the targets of other zones while these have room, where each zone has a holder of its own.
+func TestBusyZoneUsesRoomOfOthers(t *testing.T) {
+	worst := func(policy router.Policy) float64 {
+		benefit := 0.0
+		meanBenefit(t, func() *Simulation {
+			sim := Coarse()
+			sim.Size.ZoneShares, sim.LoadDuration, sim.Policy = []float64{0.25, 0.5, 0.25}, 8*time.Second, policy
+			return &sim
+		}, func(sim *Simulation) {
+			south := sim.Results.Zones["south"]
+			benefit += south.Achieved / south.Possible / seedCount
+		})
+		return benefit
+	}
+	with, without := worst(router.Policy{}), worst(router.Policy{Disabled: router.OverloadSpill})
+	t.Logf("benefit of the busy zone's clients %.3f, %.3f without", with, without)
+	assert.GreaterOrEqual(t, with, 0.9)
+	assert.Greater(t, with, without)
+}
+
 // TestPartitionedZoneUsesNoOtherCapacity guards against jobs that wait for the targets of a
 // partitioned zone and use up the capacity of the other zones, which must serve on.
 func TestPartitionedZoneUsesNoOtherCapacity(t *testing.T) {
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -90,7 +90,7 @@
 	Directory    uint64        `cbor:"8,keyasint"`
 	DirectoryAge time.Duration `cbor:"9,keyasint"`
 	// Room is how many more tasks of average size the targets of the sender's cell could start
-	// now, if the sender holds it; 0 if tasks wait there.
+	// beside the waiting ones, if the sender holds it.
 	Room int `cbor:"16,keyasint,omitempty"`
 	// TargetCount is the number of targets in that version of the directory, in all
 	// zones.
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -15,9 +15,6 @@
 	// maxNeighbours is the number of zones whose holders a holder follows, to know where there
 	// is room. It is constant, so that the heartbeats of a holder do not grow with the zones.
 	maxNeighbours = 2
-	// minSpillRoom is the room, in tasks of average size beyond those of the job, that a zone
-	// must have to be given jobs of another zone.
-	minSpillRoom = 4
 	// maxSpillWait is how long a job that was refused waits for a connection to the zone that
 	// has room. Opening one takes 20 ms at a small processor share.
 	maxSpillWait = 100 * time.Millisecond
@@ -162,10 +159,11 @@
 	return neighbours
 }
 
-// room returns how many more tasks of average size this host's targets could start now.
+// room returns how many more tasks of average size this host's targets could start beside the
+// waiting ones.
 func (r *Router) room() int {
 	c := r.cells[r.Self.Zone]
-	if !r.holderPerZone || c == nil || !c.heldHere || r.meanNeed < 1 || r.queue.Len() > 0 {
+	if !r.holderPerZone || c == nil || !c.heldHere || r.meanNeed < 1 {
 		return 0
 	}
 	room := 0
@@ -174,7 +172,10 @@
 			room += int(float64(t.Capacity.CPU-t.used.CPU) / r.meanNeed)
 		}
 	}
-	return room
+	for _, j := range r.queue.Items() {
+		room -= j.waitingCount
+	}
+	return max(room, 0)
 }
 
 // zoneWithRoom returns the neighbour zone with the most room for a job that is refused here, or
@@ -195,7 +196,7 @@
 			best, bestZone = p, zone
 		}
 	}
-	if best == nil || best.room < j.spec.Count+minSpillRoom {
+	if best == nil || best.room < j.spec.Count {
 		return ""
 	}
 	best.room -= j.spec.Count
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -179,3 +179,43 @@
 	b.router.handleOffer(nil, &offer)
 	assert.Len(t, effectsOf[Start](b.step(Tick{})), 2)
 }
+
+// TestRefusedJobGoesToZoneWithRoom: a holder that refuses a job for overload names the
+// neighbour zone that has room for it, and no zone once that room is promised to other jobs.
+func TestRefusedJobGoesToZoneWithRoom(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	b.router.totalTargets = b.router.Bounds.MaxSharedTargets + 1
+	remote := Member{Name: "c", Zone: "south", Address: "10.0.0.3:1", Incarnation: 1, Slot: 3}
+	b.router.cell("south")
+	b.advance(b.router.Bounds.HeartbeatInterval)
+	b.reachRemote(remote)
+	report := &Heartbeat{Member: remote, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), Room: 3}
+	b.step(Receive{From: remote.Address, Message: Message{Heartbeat: report}})
+	blocking := twoTaskJob("blocking")
+	blocking.ExpectedRunTime = 2 * time.Second
+	b.step(Submit{Request: 1, Job: blocking, Budget: 9 * time.Second})
+	wide := func(id string) Job {
+		j := twoTaskJob(id)
+		j.Count = 3
+		return j
+	}
+	sent := offers(b.step(Submit{Request: 2, Job: wide("a"), Budget: 5 * time.Second}))
+	require.Len(t, sent, 1)
+	assert.Equal(t, "south", sent[0].Zone)
+	assert.False(t, sent[0].Reoffered)
+	got := answers(b.step(Submit{Request: 3, Job: wide("b"), Budget: 5 * time.Second}))
+	require.Len(t, got, 1, "the room is promised to the first job")
+	assert.Equal(t, Overload, got[0].Reason)
+}
+
+// TestUnreachableRoomLeadsToRefusal: a job that was refused with the name of another zone is
+// answered with that refusal if the zone's holder cannot be reached in time.
+func TestUnreachableRoomLeadsToRefusal(t *testing.T) {
+	b, _ := newSplitBed(t)
+	require.Len(t, offers(b.step(Submit{Request: 1, Job: twoTaskJob("a"), Budget: 5 * time.Second})), 1)
+	assert.Empty(t, answers(b.receiveVerdict(Verdict{ID: "a", Outcome: Refused, Reason: Overload, RetryAfter: 70 * time.Millisecond, Elsewhere: "south"})))
+	got := answers(b.advance(maxSpillWait+2*b.router.Bounds.TickInterval, 1))
+	require.Len(t, got, 1)
+	assert.Equal(t, Refused, got[0].Outcome)
+	assert.Equal(t, 70*time.Millisecond, got[0].RetryAfter)
+}
