internal/router: cold targets rest while most targets are warm

After an evacuation a zone's targets may be cold, as its entries tell. Runs there are now kept out of the models and of ejection, the factor by which they take longer is learned apart, and a holder of mostly warm targets gives cold ones no tasks; one whose targets are all cold hands jobs that would be late to a zone with room.

--- a/internal/modeler/evacuation.go
+++ b/internal/modeler/evacuation.go
@@ -44,3 +44,25 @@
 		sm.recordViolation("%s started %s at %s, whose zone has been evacuated for %v", h.name, task, t.entry.ID, sm.now.Sub(since))
 	}
 }
+
+// coldTime is how long targets are cold after an evacuation.
+const coldTime = 4 * time.Second
+
+// makeCold makes the targets of a zone slower by a factor for coldTime.
+func (sm *Simulation) makeCold(zone string, factor float64) {
+	for _, id := range sm.targetIDs {
+		t := sm.targets[id]
+		if t.entry.Zone != zone || !t.up {
+			continue
+		}
+		t.coldUntil, t.coldFactor, t.entry.ColdLeft = sm.now.Add(coldTime), factor, coldTime
+		sm.store.listTarget(t)
+		incarnation := t.incarnation
+		sm.schedule(coldTime, func() {
+			t.entry.ColdLeft = 0
+			if t.incarnation == incarnation {
+				sm.store.listTarget(t)
+			}
+		})
+	}
+}
--- a/internal/modeler/evacuation_test.go
+++ b/internal/modeler/evacuation_test.go
@@ -79,6 +79,23 @@
 	}
 }
 
+// TestColdZoneBarelyDelaysJobs checks that a zone that returns from an evacuation with targets
+// three times as slow does not delay its clients, whether one host holds all zones or each zone
+// has a holder: other targets serve them meanwhile.
+func TestColdZoneBarelyDelaysJobs(t *testing.T) {
+	for name, site := range map[string]func() Simulation{"restrepo": Restrepo, "coarse": Coarse} {
+		t.Run(name, func(t *testing.T) {
+			benefit := meanBenefit(t, func() *Simulation {
+				sim := site()
+				sim.LoadFactor, sim.LoadDuration = 0.6, 10*time.Second
+				sim.Faults = []Fault{{Kind: EvacuateZone, Selector: "north", At: 2 * time.Second, Duration: 3 * time.Second, RateFactor: 3}}
+				return &sim
+			})
+			assert.GreaterOrEqual(t, benefit, 0.95)
+		})
+	}
+}
+
 // TestOverlappingEvacuations evacuates two zones at overlapping times, and one of them again
 // within a second after it was readmitted. The older state must not come back.
 func TestOverlappingEvacuations(t *testing.T) {
--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -48,7 +48,10 @@
 	Duration    time.Duration
 	Selector    string
 	TargetShare float64 // share of the targets that are affected
-	RateFactor  float64 // factor of the arrival rate for Burst
+	// RateFactor is the factor of the arrival rate for Burst. For EvacuateZone, it is the factor
+	// of the run times at the zone's targets for coldTime after the evacuation; 1 or less
+	// means that they stay warm.
+	RateFactor float64
 }
 
 func (sm *Simulation) scheduleFault(f Fault) {
@@ -64,7 +67,12 @@
 	case EvacuateZone:
 		zone := sm.pickZone(f.Selector)
 		sm.store.evacuate(zone, true)
-		sm.schedule(f.Duration, func() { sm.store.evacuate(zone, false) })
+		sm.schedule(f.Duration, func() {
+			sm.store.evacuate(zone, false)
+			if f.RateFactor > 1 {
+				sm.makeCold(zone, f.RateFactor)
+			}
+		})
 	case StoreUnavailable, StoreSlow, StoreAnswersLost:
 		sm.injectStoreFault(f)
 	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget:
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -12,6 +12,8 @@
 	sim         *Simulation
 	entry       router.Target
 	slowFactor  float64 // factor of run times
+	coldUntil   time.Time
+	coldFactor  float64 // factor of the run times of runs that start before coldUntil
 	up          bool
 	incarnation int
 	// drift is the relative error of the target's clock.
@@ -184,6 +186,10 @@
 		duration *= 6
 		r.duration = duration
 	}
+	if sim.now.Before(t.coldUntil) {
+		duration = time.Duration(float64(duration) * t.coldFactor)
+		r.duration = duration
+	}
 	sim.schedule(duration, func() {
 		if t.runs[r.taskID] == r {
 			t.endRun(r, reason)
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -66,7 +66,11 @@
 		return v, true
 	}
 	r.recordNeed(j)
-	free, total := r.capacity(&j.spec)
+	if zone := r.zoneForColdJob(j); zone != "" {
+		v.Reason, v.RetryAfter, v.Elsewhere = Overload, minRetryAfter, zone
+		return v, true
+	}
+	free, total := r.capacity(j)
 	j.exceedsShare = r.exceedsFairShare(j, total)
 	wait := seconds(r.estimateWait(j, free, total).Seconds() * r.waitWeight(j))
 	if r.now.Add(wait).After(r.admissionBound(j)) {
@@ -201,13 +205,14 @@
 
 // capacity returns how many tasks of the job could start now (free), and the CPU of all targets
 // that could run them (total), in thousandths of a core of a target of average speed.
-func (r *Router) capacity(spec *Job) (free, total int) {
+func (r *Router) capacity(j *job) (free, total int) {
+	spec := &j.spec
 	for _, t := range r.sortedTargets {
 		if t.Service != spec.Service || !r.isSoonUsable(t) {
 			continue
 		}
-		total += int(float64(t.Capacity.CPU) / r.speedFactor(t.kind()))
-		if t.fenced && !r.isUsable(t) {
+		total += int(float64(t.Capacity.CPU) / (r.speedFactor(t.kind()) * r.coldFactorOf(t)))
+		if t.fenced && !r.isUsable(t) || r.isCold(t) && r.isLateAt(j, t) {
 			continue
 		}
 		left := t.Capacity.Minus(t.used)
@@ -223,7 +228,7 @@
 // has been held for less than the peer timeout.
 func (r *Router) isSoonUsable(t *target) bool {
 	recentlyAcquired := r.now.Sub(r.cells[t.Zone].acquiredAt) < r.Bounds.PeerTimeout
-	return t.listed && !t.Draining && !t.evacuated && (t.fenced || recentlyAcquired) && (t.missedRenewals == 0 || recentlyAcquired) && (!r.now.Before(t.ejectedUntil) || !t.onTrial)
+	return t.listed && !t.Draining && !t.evacuated && !r.isResting(t) && (t.fenced || recentlyAcquired) && (t.missedRenewals == 0 || recentlyAcquired) && (!r.now.Before(t.ejectedUntil) || !t.onTrial)
 }
 
 // recheckQueuedJob aborts a queued job whose answer would be of no more use. It also aborts a
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -85,6 +85,9 @@
 	// StartedAt is the start time of the target's process in Unix milliseconds, which
 	// identifies the process; 0 means unknown.
 	StartedAt int64 `cbor:"8,keyasint,omitempty"`
+	// ColdLeft is how much longer the target is slow after a start or an evacuation, as of the
+	// time at which the entry was written.
+	ColdLeft time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Resources is an amount of processor, memory and accelerators.
@@ -126,8 +129,9 @@
 	return d.targetCount() == other.targetCount() && slices.EqualFunc(d.Targets, other.Targets, Target.isSame)
 }
 
-// isSame reports whether two entries are equal.
+// isSame reports whether two entries are equal but for the exact time for which the target
+// stays cold.
 func (t Target) isSame(other Target) bool {
 	return t.ID == other.ID && t.Address == other.Address && t.Service == other.Service && t.Zone == other.Zone &&
-		t.Draining == other.Draining && t.Capacity == other.Capacity && t.StartedAt == other.StartedAt && slices.Equal(t.Labels, other.Labels)
+		t.Draining == other.Draining && t.Capacity == other.Capacity && t.StartedAt == other.StartedAt && (t.ColdLeft > 0) == (other.ColdLeft > 0) && slices.Equal(t.Labels, other.Labels)
 }
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -99,7 +99,7 @@
 	if v, refused := r.refuseEvacuated(j); refused {
 		return v, true
 	}
-	free, total := r.capacity(&j.spec)
+	free, total := r.capacity(j)
 	wait := r.waitBehind(j, ahead, free, total)
 	if !r.now.Add(wait).After(r.admissionBound(j)) {
 		return Verdict{}, false
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -104,6 +104,10 @@
 	if runTime <= 0 || n.adopted {
 		return
 	}
+	if n.cold {
+		r.recordColdRun(n, runTime)
+		return
+	}
 	kind := n.target.kind()
 	model := r.routeModelOf(n.job.spec.Route)
 	y := math.Log(runTime.Seconds()) - r.logSpeed(kind)
@@ -183,7 +187,7 @@
 
 // expectedRunTimeAt returns the expected run time of one task of a job at a target.
 func (r *Router) expectedRunTimeAt(j *job, t *target) time.Duration {
-	return time.Duration(float64(j.taskRunTime) * r.speedFactor(t.kind()))
+	return time.Duration(float64(j.taskRunTime) * r.speedFactor(t.kind()) * r.coldFactorOf(t))
 }
 
 // kind returns the target's kind, which is its first label, or "" if it has no labels.
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -227,7 +227,7 @@
 		penalty += otherZonePenalty
 	}
 	expectedRunTime := r.expectedRunTimeAt(j, t)
-	if r.now.Add(seconds(expectedRunTime.Seconds()*runTimeMarginFactor) + networkOverhead).After(j.dueAt) {
+	if r.isLateAt(j, t) {
 		return penalty + latePenalty + int(expectedRunTime.Milliseconds())
 	}
 	if !r.isEnabled(SpeedAwarePlacement) {
@@ -240,6 +240,13 @@
 	return penalty + int(speedPenalty*speed)
 }
 
+// isLateAt reports whether a task that starts at a target now is expected to end too late for
+// the latency objective of its job.
+func (r *Router) isLateAt(j *job, t *target) bool {
+	expectedRunTime := r.expectedRunTimeAt(j, t)
+	return r.now.Add(seconds(expectedRunTime.Seconds()*runTimeMarginFactor) + networkOverhead).After(j.dueAt)
+}
+
 // currentUtilization returns the utilization of the usable targets: the CPU that runs use there
 // divided by their CPU capacity, between 0 and 1.
 func (r *Router) currentUtilization() float64 {
@@ -285,7 +292,7 @@
 		r.reportViolation("one run a task", "task %s still has another run at target %s", name, t.ID)
 	}
 	k.lastRun++
-	n := &run{job: j, task: index, number: k.lastRun, target: t, need: j.spec.Need, state: runStarting, sentAt: r.now, expectedRunTime: r.expectedRunTimeAt(j, t)}
+	n := &run{job: j, task: index, number: k.lastRun, target: t, need: j.spec.Need, state: runStarting, sentAt: r.now, expectedRunTime: r.expectedRunTimeAt(j, t), cold: r.isCold(t)}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	k.run = n
 	t.runs[name] = n
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,12 +74,13 @@
 	routeModels         map[string]*history   // by route
 	kindSpeeds          map[string]*KindSpeed // by kind of target
 	meanWorkByRoute     map[string]float64    // mean work of a job, by route
-	meanNeed            float64               // mean CPU need of a task, in thousandths of a core
-	routeShares         map[string]*share     // by route
-	learnedStateSentAt  time.Time             // when learned state was last sent to peers
-	learnedStateSavedAt time.Time             // when learned state was last saved to the store
-	placementNeeded     bool                  // an event may have made it possible to place a task
-	targetUtilization   float64               // utilization of the usable targets
+	cold                coldTargets
+	meanNeed            float64           // mean CPU need of a task, in thousandths of a core
+	routeShares         map[string]*share // by route
+	learnedStateSentAt  time.Time         // when learned state was last sent to peers
+	learnedStateSavedAt time.Time         // when learned state was last saved to the store
+	placementNeeded     bool              // an event may have made it possible to place a task
+	targetUtilization   float64           // utilization of the usable targets
 	// targetsReportProgress is true once a target has reported the progress of a run.
 	targetsReportProgress bool
 
@@ -195,6 +196,7 @@
 	r.refreshDirectory()
 	r.maintainStandbyConnections()
 	r.checkTargets()
+	r.updateColdTargets()
 	r.checkJobs()
 	r.checkRequests()
 	r.sendProgress()
--- a/internal/router/slowdown.go
+++ b/internal/router/slowdown.go
@@ -37,7 +37,7 @@
 // or can be extrapolated. It is a sequential test (CUSUM) for whether the target has become
 // slow, and ejects the target if so.
 func (r *Router) recordSlowdown(n *run, runTime time.Duration) {
-	if n.slowdownRecorded || n.adopted || n.expectedRunTime <= 0 || runTime <= 0 || !r.canPredictRunTime(n.job.spec.Route) || !r.isEnabled(SlowTargetEjection) {
+	if n.slowdownRecorded || n.adopted || n.cold || n.expectedRunTime <= 0 || runTime <= 0 || !r.canPredictRunTime(n.job.spec.Route) || !r.isEnabled(SlowTargetEjection) {
 		return
 	}
 	n.slowdownRecorded = true
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -47,6 +47,7 @@
 	ejectedUntil time.Time // no starts before this time
 	onTrial      bool      // it gets one task at a time until one succeeds
 	evacuated    bool      // its zone is evacuated
+	coldUntil    time.Time // it is slow before this time
 }
 
 // run is one start of a task at a target.
@@ -80,6 +81,8 @@
 	// slowdownRecorded is set once the run has counted for or against its target, and slow if
 	// it was too slow for a trial.
 	slowdownRecorded, slow bool
+	// cold is set if the run started while the target was cold.
+	cold bool
 }
 
 type runState string
@@ -166,6 +169,9 @@
 	// This keeps the old start time: handleTargetRestart sets the new one when a run list of the
 	// restarted target arrives.
 	t.incarnation = max(t.incarnation, t.StartedAt)
+	if entry.ColdLeft > 0 && t.ColdLeft == 0 || entry.ColdLeft == 0 {
+		t.coldUntil = r.now.Add(entry.ColdLeft)
+	}
 	t.Target, t.listed, t.evacuated = entry, true, r.isEvacuated(entry.Zone)
 	if restarted {
 		r.pollTarget(t)
@@ -215,7 +221,7 @@
 	if !t.fenced || !t.listed || t.Draining || t.evacuated || r.now.Before(t.ejectedUntil) || r.isUnresponsive(t) {
 		return false
 	}
-	if t.onTrial && len(t.runs) > 0 {
+	if t.onTrial && len(t.runs) > 0 || r.isResting(t) {
 		return false
 	}
 	return len(t.orphanRunNumbers) == 0
