internal/router: a host that has just started waits for the number of targets before it claims

Holders of other zones, which a host never contacts, no longer delay its claims. The beds of two tests read the list first, as hosts do.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -91,13 +91,17 @@
 }
 
 // startupClaimDelay returns how long after its start this host waits for messages of
-// existing holders before it claims cells: Bounds.StartupDelay while a cell has no claim
-// or its holder may still return. If every cell has a claim whose holder cannot return,
-// for instance because it is known to have exited, the delay is zero, or a quarter of
-// Bounds.StartupDelay if a much stronger peer is known, which may be starting as well.
+// existing holders before it claims cells: Bounds.StartupDelay while one of its cells has no
+// claim, its holder may still return, or the number of targets is not known. If every cell has a
+// claim whose holder cannot return, for instance because it is known to have exited, the
+// delay is zero, or a quarter of Bounds.StartupDelay if a much stronger peer is known, which
+// may be starting as well.
 func (r *Router) startupClaimDelay() time.Duration {
-	for _, c := range r.cells {
-		if c.claim.Token == 0 || r.mayHolderReturn(c) {
+	if r.totalTargetsVersion == 0 {
+		return r.Bounds.StartupDelay // it is not known whether each zone has a holder of its own
+	}
+	for zone, c := range r.cells {
+		if r.sharesCells(zone) && (c.claim.Token == 0 || r.mayHolderReturn(c)) {
 			return r.Bounds.StartupDelay
 		}
 	}
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -248,6 +248,7 @@
 	thirdHost := Member{Name: "c", Zone: "north", Address: "10.0.0.3:1", Incarnation: 1, Slot: 3, CPUShare: cpuShare}
 	claim := Claim{Zone: "north", Token: 1 << (slotBits + slotUseBits), Holder: holder}
 	b.step(Registered{Slot: 2, SlotUses: 2, Members: []Member{holder, thirdHost}, Claims: []StoredClaim{{Claim: claim, Version: 7}}})
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 1, Targets: newTargets(1)}})
 	holder.Incarnation, holder.Slot = 2, 0 // it is not registered yet
 	b.step(Receive{From: holder.Address, Message: Message{Heartbeat: &Heartbeat{Member: holder, Sent: b.now.UnixNano(), Echo: b.now.UnixNano()}}})
 	return b
@@ -269,6 +270,24 @@
 	}
 }
 
+// TestClaimWaitsForNumberOfTargets: a host that has just started must not claim the cells of
+// other zones before it knows whether each zone has a holder of its own. It claims its own as
+// soon as it does.
+func TestClaimWaitsForNumberOfTargets(t *testing.T) {
+	b := newRestartedBed(100)
+	b.router.totalTargets, b.router.totalTargetsVersion = 0, 0
+	south := Claim{Zone: "south", Token: 1 << (slotBits + slotUseBits), Holder: Member{Name: "s", Zone: "south", Address: "10.0.0.9:1", Incarnation: 1, Slot: 4}}
+	b.step(ClaimsRead{Claims: []StoredClaim{{Claim: south, Version: 8}}})
+	b.step(PeerExited{Address: south.Holder.Address})
+	assert.Empty(t, effectsOf[WriteClaims](b.step(Tick{})))
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: newTwoZoneDirectory(b.router.Bounds.MaxSharedTargets)})
+	b.now = b.now.Add(b.router.Bounds.TickInterval)
+	writes := effectsOf[WriteClaims](b.step(Tick{}))
+	require.Len(t, writes, 1)
+	require.Len(t, writes[0].Rows, 1)
+	assert.Equal(t, "north", writes[0].Rows[0].Claim.Zone)
+}
+
 // TestClaimNamesRowVersionsFromHeartbeats: a claim must name the row versions from the
 // holder's heartbeats, so that it does not meet a conflict at the first attempt.
 func TestClaimNamesRowVersionsFromHeartbeats(t *testing.T) {
--- a/internal/router/origin_test.go
+++ b/internal/router/origin_test.go
@@ -183,6 +183,7 @@
 		b.step(Tick{})
 		claim := Claim{Zone: "north", Token: 5 << (slotBits + slotUseBits), Holder: unresponsive}
 		b.step(Registered{Slot: 2, SlotUses: 2, Members: []Member{b.peer, unresponsive}, Claims: []StoredClaim{{Claim: claim, Version: 7}}})
+		b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 1, Targets: newTargets(1)}})
 		var claimDelay time.Duration
 		for start := b.now; claimDelay == 0 && b.now.Sub(start) < time.Second; {
 			b.now = b.now.Add(r.Bounds.TickInterval)
