internal/router: the cost of a tick does not grow with the hosts of other zones

A profile of the model with 300 hosts and 3,000 targets, 5 s: of 27.5 s in the routers 9.2 sorted the peers in each tick, 6.8 looked for cells to claim at hosts that may not claim. The sorted list is kept until peers change, hosts without a recent view of the others return at once, and peers of other zones that are known from the store only are dropped.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -76,7 +76,10 @@
 		r.checkClaimTimeout()
 		return
 	}
-	if r.Self.Slot == 0 || !r.leavingSince.IsZero() || r.now.Sub(r.startedAt) < r.startupClaimDelay() {
+	if r.Self.Slot == 0 || !r.leavingSince.IsZero() || !r.hasRecentView() {
+		return
+	}
+	if age := r.now.Sub(r.startedAt); age < r.Bounds.StartupDelay && age < r.startupClaimDelay() {
 		return
 	}
 	var zones []string
@@ -129,7 +132,7 @@
 	}
 	candidates := r.candidates(c.zone)
 	rank := slices.IndexFunc(candidates, func(m Member) bool { return m.Address == r.Self.Address })
-	if rank < 0 || !r.hasRecentView() || !r.hasMajority(c.zone) && !r.isLongHolderless(c) {
+	if rank < 0 || !r.hasMajority(c.zone) && !r.isLongHolderless(c) {
 		return false
 	}
 	if !c.holderlessSince.IsZero() {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -66,12 +66,16 @@
 	return !p.lastEchoedAt.IsZero() && r.now.Sub(p.lastEchoedAt) <= r.Bounds.OriginTimeout
 }
 
+// sortedPeers returns the peers in the order of their addresses. Callers must not change the
+// list, which is rebuilt when peers are added or removed.
 func (r *Router) sortedPeers() []*peer {
-	list := make([]*peer, 0, len(r.peers))
-	for _, address := range sortedKeys(r.peers) {
-		list = append(list, r.peers[address])
+	if r.peerList == nil {
+		r.peerList = make([]*peer, 0, len(r.peers))
+		for _, address := range sortedKeys(r.peers) {
+			r.peerList = append(r.peerList, r.peers[address])
+		}
 	}
-	return list
+	return r.peerList
 }
 
 func (r *Router) send(p *peer, m Message) { r.emit(Send{To: p.member.Address, Message: m}) }
@@ -86,7 +90,7 @@
 	p := r.peers[m.Address]
 	if p == nil {
 		p = &peer{member: m, lastHeartbeatReceivedAt: r.now}
-		r.peers[m.Address] = p
+		r.peers[m.Address], r.peerList = p, nil
 		r.updateMonitored(p)
 	}
 	return p
@@ -282,12 +286,18 @@
 			p.jobsAllowed = false
 			r.endJobsOfOrigin(p.member.Address)
 		}
-		if r.now.Sub(p.lastHeartbeatReceivedAt) > r.memberExpiry() {
+		if r.now.Sub(p.lastHeartbeatReceivedAt) > r.memberExpiry() || r.isForeign(p) {
 			r.removePeer(p)
 		}
 	}
 }
 
+// isForeign reports whether a peer, which is known from the store, has nothing to do with this
+// host: each zone has a holder of its own, and neither host needs the other's heartbeats.
+func (r *Router) isForeign(p *peer) bool {
+	return r.holderPerZone && !r.sharesCells(p.member.Zone) && !p.monitored && !p.hasBeenReachable && r.now.Sub(p.lastHeartbeatReceivedAt) > r.Bounds.PeerTimeout
+}
+
 // handleLinkOpened repeats messages that may have been lost with a previous connection:
 // offers to the peer and verdicts for it. The receivers ignore duplicates.
 func (r *Router) handleLinkOpened(address string) {
@@ -331,6 +341,7 @@
 // the store.
 func (r *Router) removePeer(p *peer) {
 	delete(r.peers, p.member.Address)
+	r.peerList = nil
 	r.emit(CloseLink{Address: p.member.Address})
 	r.emit(Decision{Action: "peer", Pairs: []any{"peer", p.member.Name, "state", "forgotten"}})
 	if c := r.cells[p.member.Zone]; c != nil && c.heldHere && p.member.Slot > 0 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,6 +46,7 @@
 	slotUses                  int                  // count of the slot's uses; distinguishes the tokens of this incarnation from earlier ones
 	generation                uint64               // highest known generation
 	peers                     map[string]*peer     // by address
+	peerList                  []*peer              // sorted by address; nil if it must be rebuilt
 	maxLinkRate               int                  // link rate of the fastest known host, in kilobits a second
 	totalTargets              int                  // number of targets in the newest known version of the directory
 	totalTargetsVersion       uint64               // that version
