internal/router: types of their own for spilled jobs and the log of the directory

Events of the store, refusals and findings about evacuations have functions of their own. No change of behaviour but that the changes for a peer are put together only when they are due.

--- a/internal/inspector/finding.go
+++ b/internal/inspector/finding.go
@@ -64,11 +64,8 @@
 			add("has had no holder for zone %s for %v", c.Zone, c.Absent.Round(time.Millisecond))
 		}
 	}
-	if s.Evacuations == 0 {
-		add("does not know which zones are evacuated and starts no tasks; check the store")
-	}
-	if s.Evacuations > 0 && s.EvacuationsAge > maxEvacuationsAge {
-		add("has not read the evacuated zones for %v; check the store", s.EvacuationsAge.Round(time.Millisecond))
+	if finding := evacuationFinding(s); finding != "" {
+		add("%s", finding)
 	}
 	if isHolder && s.DirectoryAge < 0 {
 		add("uses the directory of another host for the targets that it holds, and has never read it itself; check the store")
@@ -79,6 +76,17 @@
 	return findings
 }
 
+// evacuationFinding tells whether a host's knowledge of the evacuated zones is missing or old.
+func evacuationFinding(s *router.State) string {
+	switch {
+	case s.Evacuations == 0:
+		return "does not know which zones are evacuated and starts no tasks; check the store"
+	case s.EvacuationsAge > maxEvacuationsAge:
+		return fmt.Sprintf("has not read the evacuated zones for %v; check the store", s.EvacuationsAge.Round(time.Millisecond))
+	}
+	return ""
+}
+
 // reachableHolders returns the reachable holder of each zone in the state of a host.
 func reachableHolders(s *router.State) map[string]string {
 	holders := make(map[string]string)
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -141,14 +141,8 @@
 		})
 	case router.Renew:
 		sim.sendRenewal(h, e)
-	case router.WriteClaims:
-		sim.store.writeClaims(h, e)
-	case router.SaveLearnedState:
-		sim.store.saveLearnedState(h, e)
-	case router.ReadClaims:
-		sim.store.readClaims(h)
-	case router.ReadDirectory:
-		sim.store.readDirectory(h)
+	case router.WriteClaims, router.SaveLearnedState, router.ReadClaims, router.ReadDirectory:
+		h.callStore(e)
 	case router.Decision:
 		h.traceDecision(e)
 	case router.Violation:
@@ -159,6 +153,21 @@
 	}
 }
 
+// callStore executes a request to the store.
+func (h *host) callStore(effect router.Effect) {
+	store := h.sim.store
+	switch e := effect.(type) {
+	case router.WriteClaims:
+		store.writeClaims(h, e)
+	case router.SaveLearnedState:
+		store.saveLearnedState(h, e)
+	case router.ReadClaims:
+		store.readClaims(h)
+	case router.ReadDirectory:
+		store.readDirectory(h)
+	}
+}
+
 // send sends a message to another host if the link to it is open. If that host's process has
 // ended, the link breaks and is dialled again.
 func (h *host) send(e router.Send) {
--- a/internal/router/delta.go
+++ b/internal/router/delta.go
@@ -13,10 +13,6 @@
 	Removed []string `cbor:"5,keyasint,omitempty"` // IDs
 }
 
-// maxDirectoryLog is the number of versions whose changes are retained. At a change in each
-// read they cover 45 s.
-const maxDirectoryLog = 64
-
 // newDirectoryChanges returns the changes from one version of the directory to the next. Both
 // are sorted by ID.
 func newDirectoryChanges(from, to Directory) DirectoryChanges {
@@ -75,30 +71,46 @@
 	return Directory{Version: c.Version, Total: c.Total, Targets: append(targets, c.Changed...)}
 }
 
-// logDirectoryChanges retains the changes to a new version of the directory for peers.
-func (r *Router) logDirectoryChanges(d Directory) {
-	if r.directory.Version == 0 || r.directory.merged || d.merged {
-		r.directoryLog = nil
-		return
+// directoryLog retains the changes between the last versions of the directory, oldest first.
+type directoryLog []DirectoryChanges
+
+// maxDirectoryLog is the number of versions whose changes are retained. At a change in each
+// read they cover 45 s.
+const maxDirectoryLog = 64
+
+// add retains the changes to a new version. A version with retained targets does not identify
+// its list, so that no changes lead to it or from it.
+func (l directoryLog) add(from, to Directory) directoryLog {
+	switch {
+	case from.merged || to.merged:
+		return nil
+	case from.Version == 0:
+		return l
+	case len(l) == maxDirectoryLog:
+		l = slices.Delete(l, 0, 1)
 	}
-	r.directoryLog = append(r.directoryLog, newDirectoryChanges(r.directory, d))
-	if len(r.directoryLog) > maxDirectoryLog {
-		r.directoryLog = slices.Delete(r.directoryLog, 0, 1)
+	return append(l, newDirectoryChanges(from, to))
+}
+
+// since returns the changes from a version to the newest one, and false if they are not known.
+func (l directoryLog) since(version uint64) (DirectoryChanges, bool) {
+	first := slices.IndexFunc(l, func(c DirectoryChanges) bool { return c.From == version })
+	if version == 0 || first < 0 {
+		return DirectoryChanges{}, false
 	}
+	changes := l[first]
+	for _, next := range l[first+1:] {
+		changes = changes.then(next)
+	}
+	return changes, true
 }
 
 // directoryMessage returns the message that brings a peer with a version of the directory up
 // to date: the changes since that version if they are known and smaller, else the directory.
 func (r *Router) directoryMessage(version uint64) Message {
-	first := slices.IndexFunc(r.directoryLog, func(c DirectoryChanges) bool { return c.From == version })
-	if version > 0 && first >= 0 {
-		changes := r.directoryLog[first]
-		for _, next := range r.directoryLog[first+1:] {
-			changes = changes.then(next)
-		}
-		if len(changes.Changed)+len(changes.Removed) < len(r.directory.Targets) {
-			return Message{DirectoryChanges: &changes}
-		}
+	changes, known := r.directoryLog.since(version)
+	if known && len(changes.Changed)+len(changes.Removed) < len(r.directory.Targets) {
+		return Message{DirectoryChanges: &changes}
 	}
 	d := r.directory
 	return Message{Directory: &d}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -128,7 +128,7 @@
 		"version", d.Version, "total", d.targetCount(), "targets", len(d.Targets), "before", len(r.directory.Targets), "source", source, "age", r.formatAge(requestedAt),
 	}})
 	r.recordUnlistedTargets(d)
-	r.logDirectoryChanges(d)
+	r.directoryLog = r.directoryLog.add(r.directory, d)
 	r.directory = d
 	r.dropUnlistedStandby()
 	for _, entry := range d.Targets {
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -241,8 +241,8 @@
 	if p.directoryVersion == 0 || r.fullMesh || r.hubs[p.member.Address] {
 		return p.sentDirectoryVersion < r.directory.Version || sinceSent >= stateResendInterval
 	}
-	if r.directoryMessage(p.directoryVersion).Directory != nil {
+	if sinceSent < directoryResendInterval || sinceSent >= wholeDirectoryInterval {
 		return sinceSent >= wholeDirectoryInterval
 	}
-	return sinceSent >= directoryResendInterval
+	return r.directoryMessage(p.directoryVersion).DirectoryChanges != nil
 }
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -26,11 +26,8 @@
 	previousZones []string
 	// doubtfulOffers are the offers to previous holders that may have started the job.
 	doubtfulOffers []pastOffer
-	// spillZone is the zone that has room for the job, according to refusal, the verdict of the
-	// own zone's holder at spillStartedAt. Empty means that the job was not refused.
-	spillZone      string
-	refusal        Verdict
-	spillStartedAt time.Time
+	// spill is set while the job is offered to another zone after the own zone's refusal.
+	spill spill
 	// evacuatedZones are the zones whose holders refused the job because they are evacuated.
 	evacuatedZones []string
 	doneTasks      []int
@@ -179,8 +176,8 @@
 func (r *Router) answerIfExpired(q *request) {
 	zone := r.zoneFor(q)
 	hasHolder := r.reachableHolder(zone) != nil
-	if q.spillZone != "" && q.holder == "" && len(q.previousZones) == 0 && r.now.Sub(q.spillStartedAt) > maxSpillWait {
-		r.answerRequest(q, q.refusal)
+	if q.spill.hasFailed(r.now) && q.holder == "" && len(q.previousZones) == 0 {
+		r.answerRequest(q, q.spill.refusal)
 		return
 	}
 	expired := r.now.After(q.deadline.Add(answerGrace))
@@ -213,11 +210,10 @@
 		r.handleLateVerdict(q, holder, v)
 		return
 	}
-	switch {
-	case v.Outcome == Returned:
+	switch v.Outcome {
+	case Returned:
 		q.holder, q.token = "", 0 // checkRequests offers it to the current holder
-		return
-	case v.Outcome == WrongHolder:
+	case WrongHolder:
 		// The holder did not accept the job, so checkRequests offers it to the current holder.
 		// If it was offered to the same holder more than once, an earlier offer may have been
 		// accepted.
@@ -225,13 +221,20 @@
 			r.recordHolderChange(q)
 		}
 		q.holder, q.token = "", 0
-		return
-	case v.Outcome == Refused && len(q.previousZones) > 0:
-		v.Outcome = Unknown // a previous holder may have started it
-	case v.Outcome == Refused && v.Reason == Evacuated && r.offerElsewhere(q):
-		return
-	case v.Outcome == Refused && v.Elsewhere != "" && q.spillZone == "":
-		r.spillRequest(q, v)
+	case Refused:
+		r.handleRefusal(q, v)
+	default:
+		r.answerRequest(q, v)
+	}
+}
+
+// handleRefusal handles the refusal of a request by its current holder. Unless a previous holder
+// may have started the job, another zone may serve it.
+func (r *Router) handleRefusal(q *request, v Verdict) {
+	switch {
+	case len(q.previousZones) > 0:
+		v.Outcome = Unknown
+	case v.Reason == Evacuated && r.offerElsewhere(q), v.Elsewhere != "" && r.spillRequest(q, v):
 		return
 	}
 	r.answerRequest(q, v)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -38,7 +38,7 @@
 	previousTargets      map[string]*previousTarget // targets from other hosts' lists or from replaced directories, by ID
 	directoryReadAt      time.Time                  // when this host requested the directory that it last read from the store
 	directoryRequestedAt time.Time                  // when this host last requested the directory
-	directoryLog         []DirectoryChanges         // changes between the last versions of the directory, oldest first
+	directoryLog         directoryLog               // changes between the last versions of the directory, oldest first
 	directoryReadPending bool                       // a read of the directory is under way
 	storeOutageSince     time.Time                  // when reads of the directory began to fail; zero while they succeed
 	storeReturnedAt      time.Time                  // when the store became available after its last long outage
@@ -139,6 +139,26 @@
 		r.handleClientEvent(e)
 	case Receive:
 		r.handleMessage(e)
+	case Adopt, EvacuationsRead, DirectoryRead, DirectoryReadFailed, Registered, LearnedStateRead, ClaimsRead, ClaimsWritten:
+		r.handleStoreEvent(e)
+	case StartAnswered:
+		r.handleStartAnswered(e)
+	case StopAnswered:
+		r.handleStopAnswered(e)
+	case RenewAnswered:
+		r.handleRenewAnswered(e)
+	case LinkOpened:
+		r.handleLinkOpened(e.Address)
+	case PeerExited:
+		r.handlePeerExited(e.Address)
+	case Drain:
+		r.handleDrain()
+	}
+}
+
+// handleStoreEvent applies an answer of the store.
+func (r *Router) handleStoreEvent(e Event) {
+	switch e := e.(type) {
 	case Adopt:
 		r.adoptConfig(e.Config, "store")
 	case EvacuationsRead:
@@ -155,18 +175,6 @@
 		r.handleClaimsRead(e)
 	case ClaimsWritten:
 		r.handleClaimsWritten(e)
-	case StartAnswered:
-		r.handleStartAnswered(e)
-	case StopAnswered:
-		r.handleStopAnswered(e)
-	case RenewAnswered:
-		r.handleRenewAnswered(e)
-	case LinkOpened:
-		r.handleLinkOpened(e.Address)
-	case PeerExited:
-		r.handlePeerExited(e.Address)
-	case Drain:
-		r.handleDrain()
 	}
 }
 
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -99,8 +99,8 @@
 	if q.holder != "" {
 		return q.zone
 	}
-	if q.spillZone != "" {
-		return q.spillZone
+	if q.spill.zone != "" {
+		return q.spill.zone
 	}
 	if !r.servesElsewhere() {
 		return r.Self.Zone
@@ -203,12 +203,30 @@
 	return bestZone
 }
 
+// spill is the offer of a job that the own zone's holder has refused to another zone. The zero
+// value means that there is none.
+type spill struct {
+	zone      string
+	refusal   Verdict // of the own zone's holder
+	startedAt time.Time
+}
+
+// hasFailed reports whether the holder of the other zone should have been reached by now.
+func (s *spill) hasFailed(now time.Time) bool {
+	return s.zone != "" && now.Sub(s.startedAt) > maxSpillWait
+}
+
 // spillRequest offers a request that its holder refused for overload to the holder of the zone
-// that has room. If that cannot be reached in time, the refusal is the answer.
-func (r *Router) spillRequest(q *request, refusal Verdict) {
-	q.spillZone, q.refusal, q.spillStartedAt = refusal.Elsewhere, refusal, r.now
+// that has room. If that cannot be reached in time, the refusal is the answer. A request is
+// spilled once; for another time, spillRequest returns false.
+func (r *Router) spillRequest(q *request, refusal Verdict) bool {
+	if q.spill.zone != "" {
+		return false
+	}
+	q.spill = spill{zone: refusal.Elsewhere, refusal: refusal, startedAt: r.now}
 	q.holder, q.token = "", 0
-	r.spilledAt[q.spillZone] = r.now
+	r.spilledAt[q.spill.zone] = r.now
 	r.followZones()
 	r.offerRequest(q)
+	return true
 }
