--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -34,6 +34,9 @@
 	case s.Reason == "unheld":
 		s.Cause = "no host held the zone's targets while the job could wait"
 		s.addRelatedEvidence("holder", "claim", "claimed")
+	case s.Reason == "evacuated":
+		s.Cause = "the job fits targets of evacuated zones only"
+		s.addRelatedEvidence("evacuate")
 	case ok:
 		s.Cause = fmt.Sprintf("the queue would have made the job late: it could wait %s, and the client was told to retry after %s; %s jobs were queued",
 			refusal.text("slack"), answer.text("after"), refusal.text("queued"))
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -137,7 +137,7 @@
 // stateChanges are the actions that record a change in a host's view of the holders, peers,
 // targets, store or configuration, or the host's shutdown.
 var stateChanges = map[string]bool{
-	"holder": true, "claim": true, "claimed": true, "peer": true, "target": true, "store": true, "drain": true, "halt": true, "configure": true,
+	"holder": true, "claim": true, "claimed": true, "peer": true, "target": true, "store": true, "drain": true, "halt": true, "configure": true, "evacuate": true,
 }
 
 // endTime returns the time of the job's answer, or of its last line if there is none.
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -57,6 +57,21 @@
 	assert.Contains(t, story.Cause, "more than any target")
 }
 
+// TestCauseNamesEvacuation checks that the cause of a refusal names an evacuation, with the line
+// that tells of it.
+func TestCauseNamesEvacuation(t *testing.T) {
+	r := &Reader{}
+	require.NoError(t, r.Read(strings.NewReader(`{"time":"2026-01-01T00:00:00Z","msg":"evacuate","host":"a","zone":"north","state":"begun","version":5}
+{"time":"2026-01-01T00:00:00.5Z","msg":"refuse","host":"a","job":"j","slack":"9ms","queued":0,"reason":"evacuated"}
+{"time":"2026-01-01T00:00:00.501Z","msg":"answer","host":"a","job":"j","outcome":"refused","reason":"evacuated","after":"3s"}
+`)))
+	story, found := r.Explain("j")
+	require.True(t, found)
+	assert.Contains(t, story.Cause, "evacuated zones")
+	require.NotEmpty(t, story.Evidence)
+	assert.Contains(t, story.Evidence[0], "begun")
+}
+
 // TestCauseNamesExceededFairShare checks that the cause of a refusal says when the route
 // exceeded its fair share.
 func TestCauseNamesExceededFairShare(t *testing.T) {
