internal/router: a host of another zone that leaves is no loss of a host

Hosts of other zones connect while they are given jobs here and leave afterwards. That counted as the loss of a host, for 4 s after which short timeouts are taken for retries and placed last. The test fails without the change.

--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -191,7 +191,7 @@
 		return nil
 	}
 	if m.Incarnation > p.member.Incarnation && p.hasBeenReachable {
-		r.lastHostLossAt = r.now
+		r.recordHostLoss(p)
 		r.emit(Decision{Action: "peer", Pairs: []any{"peer", m.Name, "state", "restarted"}})
 		r.endJobsOfOrigin(p.member.Address)
 		*p = peer{lastHeartbeatReceivedAt: r.now, dialled: p.dialled}
@@ -270,7 +270,7 @@
 	for _, p := range r.sortedPeers() {
 		if !p.reachableSince.IsZero() && !r.isReachable(p) {
 			p.reachableSince, p.unresponsiveSince = time.Time{}, r.now
-			r.lastHostLossAt = r.now
+			r.recordHostLoss(p)
 			r.emit(Decision{Action: "peer", Pairs: []any{
 				"peer", p.member.Name, "state", "silent", "age", r.now.Sub(p.lastEchoedAt).String(), "bound", r.peerTimeout(p).String(),
 			}})
@@ -292,6 +292,15 @@
 	}
 }
 
+// recordHostLoss records the loss of a host, after which clients retry. A host of another zone
+// does not count, since its clients retry there, and since it may only have ceased to need this
+// host's heartbeats.
+func (r *Router) recordHostLoss(p *peer) {
+	if r.isCellPeer(p) {
+		r.lastHostLossAt = r.now
+	}
+}
+
 // isForeign reports whether a peer, which is known from the store, has nothing to do with this
 // host: each zone has a holder of its own, and neither host needs the other's heartbeats.
 func (r *Router) isForeign(p *peer) bool {
@@ -332,7 +341,8 @@
 	p.exited = true
 	if r.isReachable(p) {
 		p.lastEchoedAt = p.lastEchoedAt.Add(-r.peerTimeout(p))
-		p.reachableSince, r.lastHostLossAt = time.Time{}, r.now
+		p.reachableSince = time.Time{}
+		r.recordHostLoss(p)
 		r.emit(Decision{Action: "peer", Pairs: []any{"peer", p.member.Name, "state", "gone"}})
 	}
 }
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -219,3 +219,19 @@
 	assert.Equal(t, Refused, got[0].Outcome)
 	assert.Equal(t, 70*time.Millisecond, got[0].RetryAfter)
 }
+
+// TestLeavingGuestIsNoHostLoss: a host of another zone that no longer needs this host's
+// heartbeats must not make short timeouts of clients count as retries.
+func TestLeavingGuestIsNoHostLoss(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	b.router.totalTargets = b.router.Bounds.MaxSharedTargets + 1
+	b.advance(b.router.Bounds.HeartbeatInterval)
+	for zone, isLoss := range map[string]bool{"south": false, "north": true} {
+		guest := Member{Name: zone, Zone: zone, Address: "10.0.9.1:" + zone, Incarnation: 1, Slot: 9}
+		b.router.lastHostLossAt = time.Time{}
+		b.step(Receive{From: guest.Address, Message: Message{Heartbeat: &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
+		require.True(t, b.router.isReachable(b.router.peers[guest.Address]))
+		b.advance(2 * b.router.backgroundPeerTimeout())
+		assert.Equal(t, isLoss, !b.router.lastHostLossAt.IsZero(), zone)
+	}
+}
