--- a/internal/modeler/flood_test.go
+++ b/internal/modeler/flood_test.go
@@ -56,6 +56,7 @@
 var baselines = map[string]func() map[string]*KindCount{
 	"restrepo":  sync.OnceValue(func() map[string]*KindCount { return simulateFlood(Restrepo, "") }),
 	"kutchwala": sync.OnceValue(func() map[string]*KindCount { return simulateFlood(Kutchwala, "") }),
+	"coarse":    sync.OnceValue(func() map[string]*KindCount { return simulateFlood(Coarse, "") }),
 }
 
 // requireIsolation requires that a flood of one kind hardly slows down the other kinds.
--- a/internal/router/delta.go
+++ b/internal/router/delta.go
@@ -1,6 +1,9 @@
 package router
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // DirectoryChanges are the differences between two versions of the directory. A peer that has
 // version From applies them instead of receiving the whole directory: 1,000 targets take
@@ -13,49 +16,37 @@
 	Removed []string `cbor:"5,keyasint,omitempty"` // IDs
 }
 
-// newDirectoryChanges returns the changes from one version of the directory to the next. Both
-// are sorted by ID.
-func newDirectoryChanges(from, to Directory) DirectoryChanges {
-	changes := DirectoryChanges{From: from.Version, Version: to.Version, Total: to.Total}
+// changedIDs returns the IDs of the targets whose entries differ between two versions of the
+// directory. Both are sorted by ID.
+func changedIDs(from, to Directory) []string {
+	var ids []string
 	i := 0
 	for _, t := range to.Targets {
 		for ; i < len(from.Targets) && from.Targets[i].ID < t.ID; i++ {
-			changes.Removed = append(changes.Removed, from.Targets[i].ID)
+			ids = append(ids, from.Targets[i].ID)
 		}
-		if i < len(from.Targets) && from.Targets[i].ID == t.ID {
-			if !t.isSame(from.Targets[i]) {
-				changes.Changed = append(changes.Changed, t)
-			}
-			i++
+		switch {
+		case i == len(from.Targets) || from.Targets[i].ID != t.ID:
+			ids = append(ids, t.ID)
 			continue
+		case !t.isSame(from.Targets[i]):
+			ids = append(ids, t.ID)
 		}
-		changes.Changed = append(changes.Changed, t)
+		i++
 	}
 	for ; i < len(from.Targets); i++ {
-		changes.Removed = append(changes.Removed, from.Targets[i].ID)
+		ids = append(ids, from.Targets[i].ID)
 	}
-	return changes
+	return ids
 }
 
-// then returns the changes of c followed by those of next.
-func (c DirectoryChanges) then(next DirectoryChanges) DirectoryChanges {
-	merged := DirectoryChanges{From: c.From, Version: next.Version, Total: next.Total}
-	isReplaced := func(id string) bool {
-		return slices.Contains(next.Removed, id) || slices.ContainsFunc(next.Changed, func(t Target) bool { return t.ID == id })
-	}
-	for _, t := range c.Changed {
-		if !isReplaced(t.ID) {
-			merged.Changed = append(merged.Changed, t)
-		}
-	}
-	for _, id := range c.Removed {
-		if !isReplaced(id) {
-			merged.Removed = append(merged.Removed, id)
-		}
+// find returns the entry of a target.
+func (d Directory) find(id string) (Target, bool) {
+	i, found := slices.BinarySearchFunc(d.Targets, id, func(t Target, id string) int { return cmp.Compare(t.ID, id) })
+	if !found {
+		return Target{}, false
 	}
-	merged.Changed = append(merged.Changed, next.Changed...)
-	merged.Removed = append(merged.Removed, next.Removed...)
-	return merged
+	return d.Targets[i], true
 }
 
 // apply returns the directory with the changes.
@@ -71,8 +62,14 @@
 	return Directory{Version: c.Version, Total: c.Total, Targets: append(targets, c.Changed...)}
 }
 
-// directoryLog retains the changes between the last versions of the directory, oldest first.
-type directoryLog []DirectoryChanges
+// directoryLog lists, for the last versions of the directory, the targets that changed between
+// a version and the next, oldest first.
+type directoryLog []directoryStep
+
+type directoryStep struct {
+	from uint64
+	ids  []string
+}
 
 // maxDirectoryLog is the number of versions whose changes are retained. At a change in each
 // read they cover 45 s.
@@ -89,31 +86,52 @@
 	case len(l) == maxDirectoryLog:
 		l = slices.Delete(l, 0, 1)
 	}
-	return append(l, newDirectoryChanges(from, to))
+	return append(l, directoryStep{from: from.Version, ids: changedIDs(from, to)})
 }
 
-// since returns the changes from a version to the newest one, and false if they are not known.
-func (l directoryLog) since(version uint64) (DirectoryChanges, bool) {
-	first := slices.IndexFunc(l, func(c DirectoryChanges) bool { return c.From == version })
+// since returns the changes from a version to the current directory, and false if they are not
+// known.
+func (l directoryLog) since(version uint64, current Directory) (DirectoryChanges, bool) {
+	first := slices.IndexFunc(l, func(s directoryStep) bool { return s.from == version })
 	if version == 0 || first < 0 {
 		return DirectoryChanges{}, false
 	}
-	changes := l[first]
-	for _, next := range l[first+1:] {
-		changes = changes.then(next)
+	changes := DirectoryChanges{From: version, Version: current.Version, Total: current.Total}
+	seen := make(map[string]bool)
+	for _, step := range l[first:] {
+		for _, id := range step.ids {
+			if seen[id] {
+				continue
+			}
+			seen[id] = true
+			if t, listed := current.find(id); listed {
+				changes.Changed = append(changes.Changed, t)
+			} else {
+				changes.Removed = append(changes.Removed, id)
+			}
+		}
 	}
 	return changes, true
 }
 
 // directoryMessage returns the message that brings a peer with a version of the directory up
 // to date: the changes since that version if they are known and smaller, else the directory.
+// The message is the same for all peers with the version.
 func (r *Router) directoryMessage(version uint64) Message {
-	changes, known := r.directoryLog.since(version)
-	if known && len(changes.Changed)+len(changes.Removed) < len(r.directory.Targets) {
-		return Message{DirectoryChanges: &changes}
+	if m, ok := r.directoryMessages[version]; ok {
+		return m
 	}
 	d := r.directory
-	return Message{Directory: &d}
+	m := Message{Directory: &d}
+	changes, known := r.directoryLog.since(version, d)
+	if known && len(changes.Changed)+len(changes.Removed) < len(d.Targets) {
+		m = Message{DirectoryChanges: &changes}
+	}
+	if r.directoryMessages == nil {
+		r.directoryMessages = make(map[uint64]Message)
+	}
+	r.directoryMessages[version] = m
+	return m
 }
 
 // handleDirectoryChanges applies the changes of the directory that a peer has read, if they
--- a/internal/router/delta_test.go
+++ b/internal/router/delta_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestDirectoryChangesLeadToSameDirectory applies the changes between random versions, one by
-// one and merged, and compares the results with the directories themselves.
+// TestDirectoryChangesLeadToSameDirectory applies the changes between random versions, over one
+// version and over two, and compares the results with the directories themselves.
 func TestDirectoryChangesLeadToSameDirectory(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
 	newVersion := func(version uint64) Directory {
@@ -31,10 +31,19 @@
 	}
 	for range 200 {
 		a, b, c := newVersion(3), newVersion(5), newVersion(9)
-		first, second := newDirectoryChanges(a, b), newDirectoryChanges(b, c)
+		log := directoryLog{}.add(a, b)
+		first, known := log.since(a.Version, b)
+		require.True(t, known)
 		assert.Equal(t, b, sorted(a.apply(first)))
-		assert.Equal(t, c, sorted(sorted(a.apply(first)).apply(second)))
-		assert.Equal(t, c, sorted(a.apply(first.then(second))))
+		log = log.add(b, c)
+		both, known := log.since(a.Version, c)
+		require.True(t, known)
+		assert.Equal(t, c, sorted(a.apply(both)))
+		second, known := log.since(b.Version, c)
+		require.True(t, known)
+		assert.Equal(t, c, sorted(b.apply(second)))
+		_, known = log.since(4, c)
+		assert.False(t, known)
 	}
 }
 
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -129,7 +129,7 @@
 	}})
 	r.recordUnlistedTargets(d)
 	r.directoryLog = r.directoryLog.add(r.directory, d)
-	r.directory = d
+	r.directory, r.directoryMessages = d, nil
 	r.dropUnlistedStandby()
 	for _, entry := range d.Targets {
 		r.cell(entry.Zone)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,7 @@
 	directoryReadAt      time.Time                  // when this host requested the directory that it last read from the store
 	directoryRequestedAt time.Time                  // when this host last requested the directory
 	directoryLog         directoryLog               // changes between the last versions of the directory, oldest first
+	directoryMessages    map[uint64]Message         // to peers with a version of the directory
 	directoryReadPending bool                       // a read of the directory is under way
 	storeOutageSince     time.Time                  // when reads of the directory began to fail; zero while they succeed
 	storeReturnedAt      time.Time                  // when the store became available after its last long outage
