--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -57,6 +57,9 @@
 	v := Verdict{ID: j.spec.ID, Outcome: Refused}
 	if r.bestFit(&j.spec) == fitsNowhere {
 		v.Outcome, v.Reason = Failed, DoesNotFit
+		if r.zoneOf(j.origin) != j.zone { // it may fit targets of its own zone
+			v.Outcome, v.RetryAfter = Refused, maxRetryAfter
+		}
 		return v, true
 	}
 	if j.mayHaveStarted || j.reoffered || r.Policy.Admission == AdmitAll {
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -7,11 +7,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// claimsReadInterval is the interval at which a host that does not reach the holder of a
-// followed zone reads the claims from the store: the time of a takeover.
-const claimsReadInterval = 400 * time.Millisecond
-
 const (
+	// claimsReadInterval is the interval at which a host that does not reach the holder of a
+	// followed zone reads the claims from the store: the time of a takeover.
+	claimsReadInterval = 400 * time.Millisecond
 	// maxNeighbours is the number of zones whose holders a holder follows, to know where there
 	// is room. It is constant, so that the heartbeats of a holder do not grow with the zones.
 	maxNeighbours = 2
@@ -36,15 +35,16 @@
 		}
 		missing = missing || r.reachableHolder(zone) == nil
 	}
-	// A holder that is known answers within a heartbeat, and the store has nothing newer.
+	// A holder that cannot be reached may have been replaced, which the store knows.
 	if missing && r.now.Sub(r.claimsRequestedAt) >= claimsReadInterval {
 		r.claimsRequestedAt = r.now
 		r.emit(ReadClaims{})
 	}
 }
 
-// zonesToFollow returns the other zones that serve requests of this host, and all other open
-// zones while this host's own zone is evacuated.
+// zonesToFollow returns the other zones that serve requests of this host or did so recently, the
+// neighbours of a holder's zone, and all other open zones while this host's own zone is
+// evacuated.
 func (r *Router) zonesToFollow() map[string]bool {
 	if !r.holderPerZone {
 		return nil
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -80,7 +80,11 @@
 	b.step(Receive{From: guest.Address, Message: Message{Heartbeat: &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
 	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, Zone: "north", Token: b.router.cells["north"].claim.Token, SubmissionID: 4}
 	assert.Len(t, effectsOf[Start](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}})), 2)
-	offer.Job.ID, offer.Zone = "k", ""
+	offer.Job.ID, offer.Job.Label = "l", "special"
+	refused := effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}}))
+	require.Len(t, refused, 1)
+	assert.Equal(t, Refused, refused[0].Message.Verdict.Outcome, "the job may fit targets of its own zone")
+	offer.Job.ID, offer.Job.Label, offer.Zone = "k", "", ""
 	verdicts := effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}}))
 	require.Len(t, verdicts, 1)
 	assert.Equal(t, WrongHolder, verdicts[0].Message.Verdict.Outcome, "the host's own zone has another holder")
