--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -231,7 +231,7 @@
 // has been held for less than the peer timeout.
 func (r *Router) isSoonUsable(t *target) bool {
 	recentlyAcquired := r.now.Sub(r.cells[t.Zone].acquiredAt) < r.Bounds.PeerTimeout
-	return t.listed && !t.Draining && !t.evacuated && !r.isResting(t) && (t.fenced || recentlyAcquired) && (t.missedRenewals == 0 || recentlyAcquired) && (!r.now.Before(t.ejectedUntil) || !t.onTrial)
+	return t.listed && !t.Draining && !t.evacuated && !r.isExcludedAsCold(t) && (t.fenced || recentlyAcquired) && (t.missedRenewals == 0 || recentlyAcquired) && (!r.now.Before(t.ejectedUntil) || !t.onTrial)
 }
 
 // recheckQueuedJob aborts a queued job whose answer would be of no more use. It also aborts a
--- a/internal/router/cold.go
+++ b/internal/router/cold.go
@@ -20,9 +20,9 @@
 type coldTargets struct {
 	runs      int     // number of finished runs at cold targets
 	logFactor float64 // mean logarithm of the factor by which these took longer
-	// resting is true while cold targets are given no tasks because most targets are warm, and
+	// excluded is true while cold targets are given no tasks because most targets are warm, and
 	// all is true while every target is cold.
-	resting, all bool
+	excluded, all bool
 }
 
 // factor returns the factor by which runs take longer at a cold target, or 1 if it is not known.
@@ -39,17 +39,17 @@
 	c.logFactor += (math.Log(factor) - c.logFactor) / float64(min(c.runs, coldWindow))
 }
 
-// update decides whether cold targets rest.
+// update decides whether cold targets are excluded.
 func (c *coldTargets) update(coldCount, totalCount int) {
-	c.resting = coldCount > 0 && 2*coldCount < totalCount && c.factor() >= minColdFactor
+	c.excluded = coldCount > 0 && 2*coldCount < totalCount && c.factor() >= minColdFactor
 	c.all = coldCount > 0 && coldCount == totalCount
 }
 
 // isCold reports whether a target is cold.
 func (r *Router) isCold(t *target) bool { return r.now.Before(t.coldUntil) }
 
-// isResting reports whether a target is given no tasks because it is cold.
-func (r *Router) isResting(t *target) bool { return r.cold.resting && r.isCold(t) }
+// isExcludedAsCold reports whether a target is given no tasks because it is cold.
+func (r *Router) isExcludedAsCold(t *target) bool { return r.cold.excluded && r.isCold(t) }
 
 // coldFactorOf returns the factor by which runs at a target take longer because it is cold.
 func (r *Router) coldFactorOf(t *target) float64 {
@@ -72,11 +72,11 @@
 	for _, t := range r.sortedTargets {
 		cold += boolToInt(r.isCold(t))
 	}
-	before := r.cold.resting
+	before := r.cold.excluded
 	r.cold.update(cold, len(r.sortedTargets))
-	if before != r.cold.resting {
+	if before != r.cold.excluded {
 		r.placementNeeded = true
-		r.emit(Decision{Action: "cold", Pairs: []any{"resting", r.cold.resting, "targets", cold, "factor", r.cold.factor()}})
+		r.emit(Decision{Action: "cold", Pairs: []any{"excluded", r.cold.excluded, "targets", cold, "factor", r.cold.factor()}})
 	}
 }
 
@@ -91,5 +91,5 @@
 			return ""
 		}
 	}
-	return r.zoneWithRoom(j)
+	return r.zoneWithHeadroom(j)
 }
--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -19,9 +19,9 @@
 	return b
 }
 
-// TestColdTargetsRest: cold targets get tasks until it is known that runs take much longer
+// TestColdTargetsAreExcludedWhileMostAreWarm: cold targets get tasks until it is known that runs take much longer
 // there, and then none while most targets are warm. They are used again once they are warm.
-func TestColdTargetsRest(t *testing.T) {
+func TestColdTargetsAreExcludedWhileMostAreWarm(t *testing.T) {
 	b := newColdBed(t)
 	cold := b.router.targets["p"]
 	assert.True(t, b.router.isUsable(cold))
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -138,7 +138,7 @@
 	if v, refused := r.admit(j); refused {
 		v.Outcome = j.reportableOutcome(v.Outcome)
 		if v.Outcome == Refused && v.Reason == Overload && v.Elsewhere == "" && j.zone == origin.Zone {
-			v.Elsewhere = r.zoneWithRoom(j)
+			v.Elsewhere = r.zoneWithHeadroom(j)
 		}
 		r.emit(Decision{Action: "refuse", Job: j.spec.ID, Pairs: r.decisionPairs(j, "reason", v.Reason, "after", v.RetryAfter.String(), "elsewhere", v.Elsewhere)})
 		r.refuseJob(j, v)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -89,9 +89,9 @@
 	Config       uint64        `cbor:"7,keyasint"`
 	Directory    uint64        `cbor:"8,keyasint"`
 	DirectoryAge time.Duration `cbor:"9,keyasint"`
-	// Room is how many more tasks of average size the targets of the sender's cell could start
+	// Headroom is how many more tasks of average size the targets of the sender's cell could start
 	// beside the waiting ones, if the sender holds it.
-	Room int `cbor:"16,keyasint,omitempty"`
+	Headroom int `cbor:"16,keyasint,omitempty"`
 	// TargetCount is the number of targets in that version of the directory, in all
 	// zones.
 	TargetCount int `cbor:"14,keyasint,omitempty"`
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -24,8 +24,8 @@
 	// previousZones are the zones whose targets a previous holder may have used. The list is
 	// empty until the holder has changed.
 	previousZones []string
-	// doubtfulOffers are the offers to previous holders that may have started the job.
-	doubtfulOffers []pastOffer
+	// unresolvedOffers are the offers to previous holders that may have started the job.
+	unresolvedOffers []pastOffer
 	// spill is set while the job is offered to another zone after the own zone's refusal.
 	spill spill
 	// evacuatedZones are the zones whose holders refused the job because they are evacuated.
@@ -141,7 +141,7 @@
 			q.previousZones = append(q.previousZones, zone)
 		}
 	}
-	q.doubtfulOffers = append(q.doubtfulOffers, pastOffer{holder: q.holder, token: q.token})
+	q.unresolvedOffers = append(q.unresolvedOffers, pastOffer{holder: q.holder, token: q.token})
 	q.runBase += runNumberStride
 	q.holder, q.token = "", 0
 }
@@ -251,9 +251,9 @@
 	default:
 		return
 	}
-	before := len(q.doubtfulOffers)
-	q.doubtfulOffers = slices.DeleteFunc(q.doubtfulOffers, func(o pastOffer) bool { return o == pastOffer{holder: holder, token: v.Token} })
-	if before == 0 || len(q.doubtfulOffers) > 0 {
+	before := len(q.unresolvedOffers)
+	q.unresolvedOffers = slices.DeleteFunc(q.unresolvedOffers, func(o pastOffer) bool { return o == pastOffer{holder: holder, token: v.Token} })
+	if before == 0 || len(q.unresolvedOffers) > 0 {
 		return
 	}
 	q.previousZones = nil
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -19,8 +19,8 @@
 	leaving bool
 	// reachesHolder is true if the peer reaches the holder of its zone's cell.
 	reachesHolder bool
-	// room is the peer's last reported Room less what was sent there since.
-	room             int
+	// headroom is the last reported Headroom of the peer less what was sent there since.
+	headroom         int
 	configVersion    uint64
 	directoryVersion uint64
 	directoryAge     time.Duration
@@ -161,7 +161,7 @@
 		p.lastEchoedAt = echo
 	}
 	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
-	p.room = heartbeat.Room
+	p.headroom = heartbeat.Headroom
 	r.generation = max(r.generation, heartbeat.Generation)
 	r.updateTotalTargets(heartbeat.Directory, heartbeat.TargetCount)
 	if heartbeat.Evacuations != nil {
@@ -371,7 +371,7 @@
 	}
 	return Heartbeat{
 		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leavingSince.IsZero(), ReachesHolder: r.reachableHolder(r.Self.Zone) != nil, Generation: r.generation,
-		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Room: r.room(),
+		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Headroom: r.headroom(),
 	}
 }
 
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -159,29 +159,29 @@
 	return neighbours
 }
 
-// room returns how many more tasks of average size this host's targets could start beside the
+// headroom returns how many more tasks of average size this host's targets could start beside the
 // waiting ones.
-func (r *Router) room() int {
+func (r *Router) headroom() int {
 	c := r.cells[r.Self.Zone]
 	if !r.holderPerZone || c == nil || !c.heldHere || r.meanNeed < 1 {
 		return 0
 	}
-	room := 0
+	headroom := 0
 	for _, t := range r.sortedTargets {
 		if r.isUsable(t) {
-			room += int(float64(t.Capacity.CPU-t.used.CPU) / r.meanNeed)
+			headroom += int(float64(t.Capacity.CPU-t.used.CPU) / r.meanNeed)
 		}
 	}
 	for _, j := range r.queue.Items() {
-		room -= j.waitingCount
+		headroom -= j.waitingCount
 	}
-	return max(room, 0)
+	return max(headroom, 0)
 }
 
-// zoneWithRoom returns the neighbour zone with the most room for a job that is refused here, or
-// "" if none has enough. The room that a holder reports is reduced by what is sent there until
+// zoneWithHeadroom returns the neighbour zone with the most headroom for a job that is refused here, or
+// "" if none has enough. The headroom that a holder reports is reduced by what is sent there until
 // its next heartbeat.
-func (r *Router) zoneWithRoom(j *job) string {
+func (r *Router) zoneWithHeadroom(j *job) string {
 	if !r.holderPerZone || !r.isEnabled(OverloadSpill) {
 		return ""
 	}
@@ -192,14 +192,14 @@
 		if holder == nil || r.isEvacuated(zone) {
 			continue
 		}
-		if p := r.peers[holder.Address]; p != nil && (best == nil || p.room > best.room) {
+		if p := r.peers[holder.Address]; p != nil && (best == nil || p.headroom > best.headroom) {
 			best, bestZone = p, zone
 		}
 	}
-	if best == nil || best.room < j.spec.Count {
+	if best == nil || best.headroom < j.spec.Count {
 		return ""
 	}
-	best.room -= j.spec.Count
+	best.headroom -= j.spec.Count
 	return bestZone
 }
 
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -76,16 +76,16 @@
 // offers for the cell that it holds, and answer that host.
 func TestHolderServesJobsOfOtherZone(t *testing.T) {
 	b := newHolderBed(t, 2, ClaimWon)
-	guest := Member{Name: "g", Zone: "south", Address: "10.0.0.9:1", Incarnation: 1, Slot: 9}
-	b.step(Receive{From: guest.Address, Message: Message{Heartbeat: &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
+	foreignHost := Member{Name: "g", Zone: "south", Address: "10.0.0.9:1", Incarnation: 1, Slot: 9}
+	b.step(Receive{From: foreignHost.Address, Message: Message{Heartbeat: &Heartbeat{Member: foreignHost, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
 	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, Zone: "north", Token: b.router.cells["north"].claim.Token, SubmissionID: 4}
-	assert.Len(t, effectsOf[Start](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}})), 2)
+	assert.Len(t, effectsOf[Start](b.step(Receive{From: foreignHost.Address, Message: Message{Offer: offer}})), 2)
 	offer.Job.ID, offer.Job.Label = "l", "special"
-	refused := effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}}))
+	refused := effectsOf[Send](b.step(Receive{From: foreignHost.Address, Message: Message{Offer: offer}}))
 	require.Len(t, refused, 1)
 	assert.Equal(t, Refused, refused[0].Message.Verdict.Outcome, "the job may fit targets of its own zone")
 	offer.Job.ID, offer.Job.Label, offer.Zone = "k", "", ""
-	verdicts := effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Offer: offer}}))
+	verdicts := effectsOf[Send](b.step(Receive{From: foreignHost.Address, Message: Message{Offer: offer}}))
 	require.Len(t, verdicts, 1)
 	assert.Equal(t, WrongHolder, verdicts[0].Message.Verdict.Outcome, "the host's own zone has another holder")
 }
@@ -150,18 +150,18 @@
 // for the next holder to take over.
 func TestLostCellReturnsUnstartedJobs(t *testing.T) {
 	b := newHolderBed(t, 1, ClaimWon)
-	guest := Member{Name: "g", Zone: "north", Address: "10.0.0.9:1", Incarnation: 1, Slot: 9}
-	heartbeat := &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}
-	b.step(Receive{From: guest.Address, Message: Message{Heartbeat: heartbeat}})
+	foreignHost := Member{Name: "g", Zone: "north", Address: "10.0.0.9:1", Incarnation: 1, Slot: 9}
+	heartbeat := &Heartbeat{Member: foreignHost, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}
+	b.step(Receive{From: foreignHost.Address, Message: Message{Heartbeat: heartbeat}})
 	token := b.router.cells["north"].claim.Token
 	for _, id := range []string{"started", "waiting"} {
 		j := twoTaskJob(id)
 		j.ExpectedRunTime, j.Stretch = time.Second, 9
-		b.step(Receive{From: guest.Address, Message: Message{Offer: &Offer{Job: j, TimeLeft: 50 * time.Second, Token: token, SubmissionID: 4}}})
+		b.step(Receive{From: foreignHost.Address, Message: Message{Offer: &Offer{Job: j, TimeLeft: 50 * time.Second, Token: token, SubmissionID: 4}}})
 	}
-	heartbeat.Claims = []Claim{{Zone: "north", Token: token << 1, Holder: guest}}
+	heartbeat.Claims = []Claim{{Zone: "north", Token: token << 1, Holder: foreignHost}}
 	var returned []string
-	for _, e := range effectsOf[Send](b.step(Receive{From: guest.Address, Message: Message{Heartbeat: heartbeat}})) {
+	for _, e := range effectsOf[Send](b.step(Receive{From: foreignHost.Address, Message: Message{Heartbeat: heartbeat}})) {
 		if v := e.Message.Verdict; v != nil && v.Outcome == Returned {
 			returned = append(returned, v.ID)
 			assert.Equal(t, token, v.Token)
@@ -193,7 +193,7 @@
 	b.router.cell("south")
 	b.advance(b.router.Bounds.HeartbeatInterval)
 	b.reachRemote(remote)
-	report := &Heartbeat{Member: remote, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), Room: 3}
+	report := &Heartbeat{Member: remote, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), Headroom: 3}
 	b.step(Receive{From: remote.Address, Message: Message{Heartbeat: report}})
 	blocking := twoTaskJob("blocking")
 	blocking.ExpectedRunTime = 2 * time.Second
@@ -224,17 +224,17 @@
 	assert.Equal(t, 70*time.Millisecond, got[0].RetryAfter)
 }
 
-// TestLeavingGuestIsNoHostLoss: a host of another zone that no longer needs this host's
+// TestDisconnectedForeignHostIsNoHostLoss: a host of another zone that no longer needs this host's
 // heartbeats must not make short timeouts of clients count as retries.
-func TestLeavingGuestIsNoHostLoss(t *testing.T) {
+func TestDisconnectedForeignHostIsNoHostLoss(t *testing.T) {
 	b := newHolderBed(t, 1, ClaimWon)
 	b.router.totalTargets = b.router.Bounds.MaxSharedTargets + 1
 	b.advance(b.router.Bounds.HeartbeatInterval)
 	for zone, isLoss := range map[string]bool{"south": false, "north": true} {
-		guest := Member{Name: zone, Zone: zone, Address: "10.0.9.1:" + zone, Incarnation: 1, Slot: 9}
+		foreignHost := Member{Name: zone, Zone: zone, Address: "10.0.9.1:" + zone, Incarnation: 1, Slot: 9}
 		b.router.lastHostLossAt = time.Time{}
-		b.step(Receive{From: guest.Address, Message: Message{Heartbeat: &Heartbeat{Member: guest, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
-		require.True(t, b.router.isReachable(b.router.peers[guest.Address]))
+		b.step(Receive{From: foreignHost.Address, Message: Message{Heartbeat: &Heartbeat{Member: foreignHost, Sent: 1, Echo: b.now.UnixNano(), WantsHeartbeats: true}}})
+		require.True(t, b.router.isReachable(b.router.peers[foreignHost.Address]))
 		b.advance(2 * b.router.backgroundPeerTimeout())
 		assert.Equal(t, isLoss, !b.router.lastHostLossAt.IsZero(), zone)
 	}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -221,7 +221,7 @@
 	if !t.fenced || !t.listed || t.Draining || t.evacuated || r.now.Before(t.ejectedUntil) || r.isUnresponsive(t) {
 		return false
 	}
-	if t.onTrial && len(t.runs) > 0 || r.isResting(t) {
+	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) {
 		return false
 	}
 	return len(t.orphanRunNumbers) == 0
