--- a/internal/modeler/evacuation_test.go
+++ b/internal/modeler/evacuation_test.go
@@ -35,8 +35,9 @@
 		for _, offset := range []time.Duration{-150 * time.Millisecond, 5 * time.Millisecond, 2 * second} {
 			t.Run(fmt.Sprintf("%s-%s-%v", f.Kind, f.Selector, offset), func(t *testing.T) {
 				t.Parallel()
-				f.At = begin + offset
-				sim := testSimulation(0.4, 14*second, f, Fault{Kind: EvacuateZone, Selector: "north", At: begin, Duration: 8 * second})
+				fault := f // the subtests run in parallel
+				fault.At = begin + offset
+				sim := testSimulation(0.4, 14*second, fault, Fault{Kind: EvacuateZone, Selector: "north", At: begin, Duration: 8 * second})
 				sim.Run()
 				assert.Empty(t, sim.Violations)
 				assert.GreaterOrEqual(t, sim.Results.BenefitRatio(), 0.5)
