--- a/cmd/shallotctl/evacuate.go
+++ b/cmd/shallotctl/evacuate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -21,8 +22,7 @@
 	return t.setEvacuated(ctx, "readmit", false, args)
 }
 
-// setEvacuated writes or removes the evacuation of the zone that the argument names. A call
-// without an answer may have taken effect, which the exit code tells.
+// setEvacuated writes or removes the evacuation of the zone that the argument names.
 func (t *tool) setEvacuated(ctx context.Context, command string, evacuated bool, args []string) error {
 	set := t.newFlagSet(command, "ZONE")
 	address := set.String("store", "127.0.0.1:8169", "the `address` of the platform's store")
@@ -34,15 +34,16 @@
 	defer cancel()
 	store := &platform.Store{Address: *address, Client: platform.NewStoreClient(*timeout, *timeout), Log: logr.Discard()}
 	changed, err := store.SetEvacuated(ctx, set.Arg(0), evacuated)
+	var unconfirmed *platform.UnconfirmedError
 	switch {
-	case ctx.Err() != nil:
-		return &operator.Error{Kind: operator.OutcomeUnknown, Message: fmt.Sprintf("the store at %s did not answer; repeat the command", *address)}
+	case errors.As(err, &unconfirmed):
+		return &operator.Error{Kind: operator.OutcomeUnknown, Message: err.Error()}
 	case err != nil:
 		return fmt.Errorf("%s %s: %w", command, set.Arg(0), err)
 	case !changed:
-		fmt.Fprintf(t.out, "no change: the evacuation of %s was already as asked\n", set.Arg(0))
-		return nil
+		fmt.Fprintf(t.out, "%s %s: nothing to change\n", command, set.Arg(0))
+	default:
+		fmt.Fprintf(t.out, "%s %s: written; shallotctl pools shows which hosts know it\n", command, set.Arg(0))
 	}
-	fmt.Fprintf(t.out, "%s: %s is written; see shallotctl pools for the hosts that know it\n", command, set.Arg(0))
 	return nil
 }
--- a/cmd/shallotctl/pools.go
+++ b/cmd/shallotctl/pools.go
@@ -85,10 +85,10 @@
 
 // formatEvacuated returns the evacuated zones that a host knows.
 func formatEvacuated(s *router.State) string {
-	if s.Evacuations == 0 {
+	if s.Evacuations.Version == 0 {
 		return "unknown"
 	}
-	return cmp.Or(strings.Join(s.Evacuated, ","), "none")
+	return cmp.Or(strings.Join(s.Evacuations.Zones, ","), "none")
 }
 
 // countReachablePeers returns the number of peers that a host can reach.
--- a/internal/inspector/finding.go
+++ b/internal/inspector/finding.go
@@ -37,7 +37,7 @@
 		return map[string]string{"": "version " + strconv.FormatUint(s.Config, 10)}
 	})...)
 	findings = append(findings, disagreements("set of evacuated zones", states, func(s *router.State) map[string]string {
-		return map[string]string{"": cmp.Or(strings.Join(s.Evacuated, ", "), "none")}
+		return map[string]string{"": cmp.Or(strings.Join(s.Evacuations.Zones, ", "), "none")}
 	})...)
 	return append(findings, disagreements("holder", states, reachableHolders)...)
 }
@@ -79,10 +79,10 @@
 // evacuationFinding tells whether a host's knowledge of the evacuated zones is missing or old.
 func evacuationFinding(s *router.State) string {
 	switch {
-	case s.Evacuations == 0:
+	case s.Evacuations.Version == 0:
 		return "does not know which zones are evacuated and starts no tasks; check the store"
-	case s.EvacuationsAge > maxEvacuationsAge:
-		return fmt.Sprintf("has not read the evacuated zones for %v; check the store", s.EvacuationsAge.Round(time.Millisecond))
+	case s.Evacuations.Age > maxEvacuationsAge:
+		return fmt.Sprintf("has not read the evacuated zones for %v; check the store", s.Evacuations.Age.Round(time.Millisecond))
 	}
 	return ""
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -32,8 +32,7 @@
 	maxMembers = 1<<16 - 1
 	// callTimeout bounds a call to the store: a hundred times its usual response time.
 	callTimeout = 500 * time.Millisecond
-	// directoryTimeout bounds a read of the whole list of targets. Each page has a timeout of
-	// its own; the bound is for lists of 10,000 targets on a link of 25 Mbit/s.
+	// directoryTimeout bounds a read of the whole list of targets, which takes several calls.
 	directoryTimeout = 3 * time.Second
 	// watchTimeout is how long a watch waits for a change. A connection that no longer
 	// delivers packets is detected only after this time, which stays below the time within
--- a/internal/registrar/watcher.go
+++ b/internal/registrar/watcher.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -64,7 +65,7 @@
 	requestedAt := w.registrar.Clock.Now()
 	declared, err := w.call(ctx)
 	if declared.Version == 0 {
-		return err
+		return cmp.Or(err, errNothingDeclared)
 	}
 	w.applyEvacuations(declared)
 	w.storeVersion = declared.Version
@@ -77,6 +78,9 @@
 	return err
 }
 
+// errNothingDeclared means that nothing was ever written to the store.
+var errNothingDeclared = errors.New("the store is empty; write a configuration to it")
+
 // call reads all declarations, or waits for changes since the last call.
 func (w *declarationWatcher) call(ctx context.Context) (Declarations, error) {
 	if w.storeVersion == 0 {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -98,13 +98,13 @@
 	return j.latestStart
 }
 
-// recordNeed adds the CPU need of a job's tasks to the mean.
+// recordNeed adds the CPU need of a job's tasks to the mean of the service.
 func (r *Router) recordNeed(j *job) {
-	need := float64(j.spec.Need.CPU)
-	if r.meanNeed == 0 {
-		r.meanNeed = need
+	need, mean := float64(j.spec.Need.CPU), r.meanNeeds[j.spec.Service]
+	if mean == 0 {
+		mean = need
 	}
-	r.meanNeed += (need - r.meanNeed) / workWindow
+	r.meanNeeds[j.spec.Service] = mean + (need-mean)/workWindow
 }
 
 // waitWeight returns the factor on a job's estimated wait, and adds the job to its route's mean
--- a/internal/router/cold.go
+++ b/internal/router/cold.go
@@ -81,9 +81,10 @@
 }
 
 // zoneForColdJob returns a neighbour zone with room for a job that would be late here because
-// every target is cold, or "" if there is none or the job can be in time.
+// every target is cold, or "" if there is none, the job can be in time or it comes from
+// another zone already.
 func (r *Router) zoneForColdJob(j *job) string {
-	if !r.cold.all || r.isLate(j) {
+	if !r.cold.all || r.isLate(j) || r.zoneOf(j.origin) != j.zone {
 		return ""
 	}
 	for _, t := range r.sortedTargets {
--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -62,3 +62,30 @@
 	assert.Greater(t, b.router.coldFactorOf(b.router.targets["p"]), 2.0)
 	assert.EqualValues(t, 1, b.router.coldFactorOf(b.router.targets["q"]))
 }
+
+// TestNewTargetMayBeCold: a target that is cold when it is first listed, because it has just
+// started or its cell is new here, must count as cold.
+func TestNewTargetMayBeCold(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	entries := newTargets(2)
+	entries[1].ColdLeft = 5 * time.Second
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 3, Targets: entries}})
+	assert.False(t, b.router.isCold(b.router.targets["p"]))
+	assert.True(t, b.router.isCold(b.router.targets["q"]))
+}
+
+// TestJobOfOtherZoneStaysAtColdTargets: a job that another zone has handed over must not be
+// refused for the sake of a third zone, as it is handed over once only.
+func TestJobOfOtherZoneStaysAtColdTargets(t *testing.T) {
+	b, remote := newNeighbourBed(t)
+	b.router.peers[remote.Address].headroom = map[string]int{"work": 9}
+	b.router.targets["p"].coldUntil = b.now.Add(time.Minute)
+	for range minColdRuns {
+		b.router.cold.recordRun(9)
+	}
+	b.step(Tick{})
+	own := b.router.newJob(b.router.Self, &Offer{Job: twoTaskJob("own"), TimeLeft: time.Minute})
+	handedOver := b.router.newJob(remote, &Offer{Job: twoTaskJob("handed over"), TimeLeft: time.Minute, Zone: "north"})
+	assert.Equal(t, "south", b.router.zoneForColdJob(own))
+	assert.Empty(t, b.router.zoneForColdJob(handedOver))
+}
--- a/internal/router/delta.go
+++ b/internal/router/delta.go
@@ -6,8 +6,7 @@
 )
 
 // DirectoryChanges are the differences between two versions of the directory. A peer that has
-// version From applies them instead of receiving the whole directory: 1,000 targets take
-// 100 KB, and a change of one takes 100 bytes.
+// version From applies them instead of receiving the whole directory.
 type DirectoryChanges struct {
 	From    uint64   `cbor:"1,keyasint"`
 	Version uint64   `cbor:"2,keyasint"`
@@ -72,7 +71,7 @@
 }
 
 // maxDirectoryLog is the number of versions whose changes are retained. At a change in each
-// read they cover 45 s.
+// read, every Bounds.DirectoryInterval, they cover 45 s.
 const maxDirectoryLog = 64
 
 // add retains the changes to a new version. A version with retained targets does not identify
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -23,10 +23,13 @@
 
 func (EvacuationsRead) event() {}
 
-// handleEvacuationsRead adopts the evacuated zones that were read from the store.
+// handleEvacuationsRead adopts the evacuated zones that were read from the store. An outdated
+// read, which differs from the adopted set, does not confirm that set.
 func (r *Router) handleEvacuationsRead(e EvacuationsRead) {
 	r.adoptEvacuations(e.Evacuations, "store")
-	r.evacuationsReadAt = later(r.evacuationsReadAt, e.RequestedAt)
+	if slices.Equal(r.evacuations.Zones, e.Evacuations.Zones) {
+		r.evacuationsReadAt = later(r.evacuationsReadAt, e.RequestedAt)
+	}
 }
 
 // adoptEvacuations replaces the set of evacuated zones if e has a higher version. A set
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -109,6 +109,18 @@
 	assert.True(t, b.router.isEvacuated("south"))
 }
 
+// TestOutdatedReadDoesNotConfirmEvacuations: a read of the store that lacks the newest
+// evacuation must not make what this host knows look recent.
+func TestOutdatedReadDoesNotConfirmEvacuations(t *testing.T) {
+	b := newTwoZoneBed(t)
+	b.evacuate(5, "north")
+	b.now = b.now.Add(3 * time.Second)
+	b.evacuate(4)
+	assert.Equal(t, 3*time.Second, b.router.View().EvacuationsAge)
+	b.evacuate(4, "north")
+	assert.Zero(t, b.router.View().EvacuationsAge, "the same set under an earlier version")
+}
+
 // TestHolderWaitsForEvacuations: a holder starts nothing before it knows which zones are
 // evacuated, and learns it from a peer if it cannot read the store.
 func TestHolderWaitsForEvacuations(t *testing.T) {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -208,16 +208,17 @@
 // submitted it again through another host, its host offers it again under another claim, or
 // the offer is a late copy of one that was already answered.
 func (r *Router) handleRepeatedOffer(j *job, origin string, o *Offer) {
-	if !j.ended && j.reoffered && !o.Reoffered && j.submissionID == o.SubmissionID {
-		// The previous holders have told that they did not start it.
+	if !j.ended && j.reoffered && !o.Reoffered && j.submissionID == o.SubmissionID && j.token == o.Token {
+		// Under the same claim the job was offered as possibly started first, so this offer is
+		// the later one: its previous holders have not started it.
 		j.reoffered, j.previousZones = false, nil
 		r.placementNeeded = true
 	}
-	j.origin, j.submissionID, j.token = origin, o.SubmissionID, o.Token
+	j.origin, j.submissionID, j.token = origin, o.SubmissionID, max(j.token, o.Token)
 	j.deadline = later(j.deadline, r.now.Add(o.TimeLeft))
 	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "over", j.ended, "outcome", j.verdict.Outcome}})
 	if j.ended {
-		j.verdict.SubmissionID, j.verdict.Token = o.SubmissionID, o.Token
+		j.verdict.SubmissionID, j.verdict.Token = o.SubmissionID, j.token
 		r.sendVerdict(origin, j.verdict)
 	}
 }
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -90,8 +90,8 @@
 	Directory    uint64        `cbor:"8,keyasint"`
 	DirectoryAge time.Duration `cbor:"9,keyasint"`
 	// Headroom is how many more tasks of average size the targets of the sender's cell could start
-	// beside the waiting ones, if the sender holds it.
-	Headroom int `cbor:"16,keyasint,omitempty"`
+	// beside the waiting ones, by service, if the sender holds the cell.
+	Headroom map[string]int `cbor:"16,keyasint,omitempty"`
 	// TargetCount is the number of targets in that version of the directory, in all
 	// zones.
 	TargetCount int `cbor:"14,keyasint,omitempty"`
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"time"
 )
 
@@ -20,7 +21,7 @@
 	// reachesHolder is true if the peer reaches the holder of its zone's cell.
 	reachesHolder bool
 	// headroom is the last reported Headroom of the peer less what was sent there since.
-	headroom         int
+	headroom         map[string]int
 	configVersion    uint64
 	directoryVersion uint64
 	directoryAge     time.Duration
@@ -161,7 +162,7 @@
 		p.lastEchoedAt = echo
 	}
 	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
-	p.headroom = heartbeat.Headroom
+	p.headroom = maps.Clone(heartbeat.Headroom)
 	r.generation = max(r.generation, heartbeat.Generation)
 	r.updateTotalTargets(heartbeat.Directory, heartbeat.TargetCount)
 	if heartbeat.Evacuations != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -77,12 +77,12 @@
 	kindSpeeds          map[string]*KindSpeed // by kind of target
 	meanWorkByRoute     map[string]float64    // mean work of a job, by route
 	cold                coldTargets
-	meanNeed            float64           // mean CPU need of a task, in thousandths of a core
-	routeShares         map[string]*share // by route
-	learnedStateSentAt  time.Time         // when learned state was last sent to peers
-	learnedStateSavedAt time.Time         // when learned state was last saved to the store
-	placementNeeded     bool              // an event may have made it possible to place a task
-	targetUtilization   float64           // utilization of the usable targets
+	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
+	routeShares         map[string]*share  // by route
+	learnedStateSentAt  time.Time          // when learned state was last sent to peers
+	learnedStateSavedAt time.Time          // when learned state was last saved to the store
+	placementNeeded     bool               // an event may have made it possible to place a task
+	targetUtilization   float64            // utilization of the usable targets
 	// targetsReportProgress is true once a target has reported the progress of a run.
 	targetsReportProgress bool
 
@@ -120,6 +120,7 @@
 	r.routeModels = make(map[string]*history)
 	r.lostJobsDropAt = make(map[string]time.Time)
 	r.previousTargets = make(map[string]*previousTarget)
+	r.meanNeeds = make(map[string]float64)
 	r.spilledAt = make(map[string]time.Time)
 	r.standbyUsedAt = make(map[string]time.Time)
 	r.kindSpeeds = make(map[string]*KindSpeed)
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -15,7 +16,7 @@
 	// is room. It is constant, so that the heartbeats of a holder do not grow with the zones.
 	maxNeighbours = 2
 	// maxSpillWait is how long a job that was refused waits for a connection to the zone that
-	// has room. Opening one takes 20 ms at a small processor share.
+	// has room. The refusal is held back meanwhile, so it covers one heartbeat and no more.
 	maxSpillWait = 100 * time.Millisecond
 	// spillFollowDuration is how long a host stays connected to a zone that was given a job.
 	spillFollowDuration = 10 * time.Second
@@ -160,22 +161,23 @@
 }
 
 // headroom returns how many more tasks of average size this host's targets could start beside the
-// waiting ones.
-func (r *Router) headroom() int {
+// waiting ones, by service.
+func (r *Router) headroom() map[string]int {
 	c := r.cells[r.Self.Zone]
-	if !r.holderPerZone || c == nil || !c.heldHere || r.meanNeed < 1 {
-		return 0
+	if !r.holderPerZone || c == nil || !c.heldHere {
+		return nil
 	}
-	headroom := 0
+	headroom := make(map[string]int)
 	for _, t := range r.sortedTargets {
-		if r.isUsable(t) {
-			headroom += int(float64(t.Capacity.CPU-t.used.CPU) / r.meanNeed)
+		if need := r.meanNeeds[t.Service]; need >= 1 && r.isUsable(t) {
+			headroom[t.Service] += int(float64(t.Capacity.CPU-t.used.CPU) / need)
 		}
 	}
 	for _, j := range r.queue.Items() {
-		headroom -= j.waitingCount
+		headroom[j.spec.Service] -= j.waitingCount
 	}
-	return max(headroom, 0)
+	maps.DeleteFunc(headroom, func(_ string, tasks int) bool { return tasks <= 0 })
+	return headroom
 }
 
 // zoneWithHeadroom returns the neighbour zone with the most headroom for a job that is refused here, or
@@ -192,14 +194,14 @@
 		if holder == nil || r.isEvacuated(zone) {
 			continue
 		}
-		if p := r.peers[holder.Address]; p != nil && (best == nil || p.headroom > best.headroom) {
+		if p := r.peers[holder.Address]; p != nil && (best == nil || p.headroom[j.spec.Service] > best.headroom[j.spec.Service]) {
 			best, bestZone = p, zone
 		}
 	}
-	if best == nil || best.headroom < j.spec.Count {
+	if best == nil || best.headroom[j.spec.Service] < j.spec.Count {
 		return ""
 	}
-	best.headroom -= j.spec.Count
+	best.headroom[j.spec.Service] -= j.spec.Count
 	return bestZone
 }
 
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -23,12 +23,8 @@
 	Directory    uint64        `json:"directory"`
 	TargetCount  int           `json:"listed"`
 	DirectoryAge time.Duration `json:"age"`
-	// Evacuated are the evacuated zones as of version Evacuations of the store; 0 means that
-	// they are not known. EvacuationsAge is the time since this host last read them; -1 means
-	// never.
-	Evacuated      []string      `json:"evacuated"`
-	Evacuations    uint64        `json:"evacuations"`
-	EvacuationsAge time.Duration `json:"evacuationsAge"`
+	// Evacuations are the evacuated zones as this host knows them.
+	Evacuations EvacuationsState `json:"evacuations"`
 	// Open counts requests of this host's clients. Waiting and Running count tasks of
 	// the cells that this host holds.
 	Open    int           `json:"open"`
@@ -39,6 +35,16 @@
 	Targets []TargetState `json:"targets"`
 }
 
+// EvacuationsState is what a host knows of the evacuated zones.
+type EvacuationsState struct {
+	Zones []string `json:"zones"`
+	// Version is the version of the store at which the set last changed; 0 means that the
+	// set is not known.
+	Version uint64 `json:"version"`
+	// Age is the time since this host last read the set from the store; -1 means never.
+	Age time.Duration `json:"age"`
+}
+
 // PeerState is the state of another host.
 type PeerState struct {
 	Host      string `json:"host"`
@@ -109,8 +115,8 @@
 	state := State{
 		Request: e.Request, Host: r.Self.Name, Zone: r.Self.Zone, Slot: r.Self.Slot, Leaving: !r.leavingSince.IsZero(),
 		Directory: r.directory.Version, TargetCount: len(r.directory.Targets), DirectoryAge: r.ageOf(r.directoryReadAt),
-		Evacuated: r.evacuations.Zones, Evacuations: r.evacuations.Version, EvacuationsAge: r.ageOf(r.evacuationsReadAt),
-		Open: view.Open, Waiting: view.Waiting, Running: view.Running,
+		Evacuations: EvacuationsState{Zones: r.evacuations.Zones, Version: r.evacuations.Version, Age: r.ageOf(r.evacuationsReadAt)},
+		Open:        view.Open, Waiting: view.Waiting, Running: view.Running,
 	}
 	if r.config != nil {
 		state.Config = r.config.Version
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -156,7 +156,8 @@
 // previousTargets.
 func (r *Router) registerTarget(entry Target, c *cell) {
 	t := r.targets[entry.ID]
-	if t == nil {
+	isNew := t == nil
+	if isNew {
 		t = &target{Target: entry, runs: make(map[string]*run), orphanRunNumbers: make(map[string]int), unmatchedEnds: make(map[string]End)}
 		r.targets[entry.ID] = t
 		r.sortedTargets = append(r.sortedTargets, t)
@@ -169,7 +170,7 @@
 	// This keeps the old start time: handleTargetRestart sets the new one when a run list of the
 	// restarted target arrives.
 	t.incarnation = max(t.incarnation, t.StartedAt)
-	if entry.ColdLeft > 0 && t.ColdLeft == 0 || entry.ColdLeft == 0 {
+	if isNew || entry.ColdLeft == 0 || t.ColdLeft == 0 {
 		t.coldUntil = r.now.Add(entry.ColdLeft)
 	}
 	t.Target, t.listed, t.evacuated = entry, true, r.isEvacuated(entry.Zone)
