router, registrar: two tests that could not fail, found by taking each mechanism out

Two tests stayed green: that of an evacuated zone, whose target had no room for a second job anyway, and that of claims before the number of targets is known, where another delay held the claim back. Both now fail without their mechanism; two tests of the watcher fail instead of hanging.

--- a/internal/registrar/watcher_test.go
+++ b/internal/registrar/watcher_test.go
@@ -30,6 +30,7 @@
 	t.Helper()
 	b.table.declarations = declared
 	require.NoError(t, b.read(t.Context()))
+	require.Len(t, b.events, 1)
 	return (<-b.events).(router.EvacuationsRead).Evacuations
 }
 
@@ -53,6 +54,7 @@
 	assert.Empty(t, b.events)
 	b.table.declarations, b.table.declarationsError = Declarations{Version: 3, Evacuated: map[string]bool{"north": true}}, errUnreadable
 	require.ErrorIs(t, b.read(t.Context()), errUnreadable)
+	require.Len(t, b.events, 1)
 	assert.Equal(t, []string{"north"}, (<-b.events).(router.EvacuationsRead).Evacuations.Zones)
 }
 
--- a/internal/router/claim_test.go
+++ b/internal/router/claim_test.go
@@ -276,9 +276,11 @@
 func TestClaimWaitsForNumberOfTargets(t *testing.T) {
 	b := newRestartedBed(100)
 	b.router.totalTargets, b.router.totalTargetsVersion = 0, 0
-	south := Claim{Zone: "south", Token: 1 << (slotBits + slotUseBits), Holder: Member{Name: "s", Zone: "south", Address: "10.0.0.9:1", Incarnation: 1, Slot: 4}}
-	b.step(ClaimsRead{Claims: []StoredClaim{{Claim: south, Version: 8}}})
-	b.step(PeerExited{Address: south.Holder.Address})
+	south := Member{Name: "s", Zone: "south", Address: "10.0.0.9:1", Incarnation: 1, Slot: 4, CPUShare: 100}
+	b.step(ClaimsRead{Claims: []StoredClaim{{Claim: Claim{Zone: "south", Token: 1 << (slotBits + slotUseBits), Holder: south}, Version: 8}}})
+	south.Incarnation, south.Slot = 2, 0 // it has restarted as well, so that it does not hold the cell any more
+	b.step(Receive{From: south.Address, Message: Message{Heartbeat: &Heartbeat{Member: south, Sent: b.now.UnixNano(), Echo: b.now.UnixNano()}}})
+	b.now = b.now.Add(b.router.Bounds.TickInterval)
 	assert.Empty(t, effectsOf[WriteClaims](b.step(Tick{})))
 	b.step(DirectoryRead{RequestedAt: b.now, Directory: newTwoZoneDirectory(b.router.Bounds.MaxSharedTargets)})
 	b.now = b.now.Add(b.router.Bounds.TickInterval)
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -46,22 +47,23 @@
 // its lease expire. After the evacuation the zone is used again.
 func TestEvacuatedZoneGetsNoStarts(t *testing.T) {
 	b := newTwoZoneBed(t)
-	first := b.step(Submit{Request: 1, Job: twoTaskJob("a"), Budget: 5 * time.Second})
-	require.Equal(t, []string{"p", "p"}, targetsOf(first), "the zone of the client is preferred")
-	effects := b.evacuate(5, "north")
-	assert.Empty(t, effectsOf[Stop](effects))
-	assert.Equal(t, InEvacuatedZone, b.router.targetStatus(b.router.targets["p"]))
-	effects = b.step(Submit{Request: 2, Job: twoTaskJob("b"), Budget: 5 * time.Second})
-	assert.Equal(t, []string{"q", "q"}, targetsOf(effects))
-	for _, renew := range effectsOf[Renew](b.advance(b.router.Bounds.IdleRenewInterval)) {
-		if renew.Target.ID == "p" {
-			assert.NotZero(t, renew.LeaseEnd)
-		}
+	request := uint64(0)
+	start := func() []string {
+		request++
+		j := twoTaskJob(fmt.Sprint("job", request))
+		j.Count = 1
+		return targetsOf(b.step(Submit{Request: request, Job: j, Budget: 5 * time.Second}))
 	}
-	b = newTwoZoneBed(t)
-	b.evacuate(5, "north")
+	require.Equal(t, []string{"p"}, start(), "the zone of the client is preferred")
+	assert.Empty(t, effectsOf[Stop](b.evacuate(5, "north")))
+	assert.Equal(t, InEvacuatedZone, b.router.targetStatus(b.router.targets["p"]))
+	assert.Equal(t, []string{"q"}, start(), "p has room for it")
+	p := b.router.targets["p"]
+	renewals := effectsOf[Renew](b.answerRenewal(Renew{Target: p.Target, Token: p.token}, RunningTask{Task: taskName("job1", 0), Run: 1}))
+	require.Len(t, renewals, 1)
+	assert.NotZero(t, renewals[0].LeaseEnd, "what runs there goes on")
 	b.evacuate(6)
-	assert.Equal(t, []string{"p", "p"}, targetsOf(b.step(Submit{Request: 1, Job: twoTaskJob("a"), Budget: 5 * time.Second})))
+	assert.Equal(t, []string{"p"}, start())
 }
 
 // TestUnansweredStartIsNotRepeatedInEvacuatedZone: a target that has not seen the first order
