internal/router: an offer counts only under the claim that it names

What callers could see: 503, which says that nothing has run, for a job of which a task had started; or two runs of a task at a time.

Cause: offers name the token of the claim under which they are made, but the holder did not compare it with its own. A process that has restarted at the address of the former holder, or a holder that has lost and regained its cell, took an offer under the former claim as a new one. It knew of no start, so it refused the job, and the job's host took that as the verdict of the holder that it had offered the job to; or it started the job without waiting for the runs of other holders.

Evidence: both new tests failed before ("refused" in place of "elsewhere"; two starts). The order of messages that they deliver was found by reading; whether it is what the users saw is not known.

An offer under another claim is now answered like one to a host that does not hold the cell, so the job's host offers it again under the claim that it knows by then.

Two tests offered under claims that the holder of their bed never had; they now use its claim, with the same checks.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -123,7 +123,7 @@
 	}
 	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
 	stale := p != nil && !r.isReachable(p) // the offer may have been in transit since the connection was cut
-	if c == nil || !c.heldHere || stale {
+	if c == nil || !c.heldHere || stale || !c.isOfferCurrent(o) {
 		r.sendVerdict(origin.Address, Verdict{ID: o.Job.ID, Outcome: WrongHolder, SubmissionID: o.SubmissionID, Token: o.Token})
 		return
 	}
@@ -155,6 +155,11 @@
 	r.placementNeeded = true
 }
 
+// isOfferCurrent reports whether an offer was made under the cell's current claim. One that was
+// made under a former claim may have been accepted by a process that this host does not know
+// of. Offers of builds that name no claim count as current.
+func (c *cell) isOfferCurrent(o *Offer) bool { return o.Token == 0 || o.Token == c.claim.Token }
+
 // refuseJob ends a job that was not admitted and sends the verdict. The job is retained for
 // Bounds.VerdictRetention, because a copy of its offer may still arrive over a connection that
 // was replaced.
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -176,7 +176,7 @@
 func TestClearedJobNeedNotWait(t *testing.T) {
 	b := newHolderBed(t, 1, ClaimWon)
 	b.router.previousTargets["gone"] = &previousTarget{target: Target{ID: "gone", Zone: "north"}, reportedAt: b.now}
-	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 9 * time.Second, Reoffered: true, PreviousZones: []string{"north"}, SubmissionID: 4}
+	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 9 * time.Second, Reoffered: true, PreviousZones: []string{"north"}, SubmissionID: 4, Token: b.router.cells["north"].claim.Token}
 	b.router.handleOffer(nil, &offer)
 	require.Empty(t, effectsOf[Start](b.step(Tick{})))
 	offer.Reoffered, offer.PreviousZones = false, nil
@@ -254,11 +254,12 @@
 func TestLateCopyOfFirstOfferDoesNotClearJob(t *testing.T) {
 	b := newHolderBed(t, 1, ClaimWon)
 	b.router.previousTargets["gone"] = &previousTarget{target: Target{ID: "gone", Zone: "north"}, reportedAt: b.now}
-	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 9 * time.Second, Reoffered: true, PreviousZones: []string{"north"}, SubmissionID: 4, Token: 20}
+	token := b.router.cells["north"].claim.Token
+	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 9 * time.Second, Reoffered: true, PreviousZones: []string{"north"}, SubmissionID: 4, Token: token}
 	b.router.handleOffer(nil, &offer)
 	first := offer
-	first.Reoffered, first.PreviousZones, first.Token = false, nil, 10
+	first.Reoffered, first.PreviousZones, first.Token = false, nil, token-1
 	b.router.handleOffer(nil, &first)
 	assert.Empty(t, effectsOf[Start](b.step(Tick{})))
-	assert.EqualValues(t, 20, b.router.jobs["j"].token)
+	assert.Equal(t, token, b.router.jobs["j"].token)
 }
--- /dev/null
+++ b/internal/router/stale_offer_test.go
@@ -0,0 +1,52 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// verdictTo returns the verdict that is sent to a host, or nil for none.
+func verdictTo(address string, effects []Effect) *Verdict {
+	for _, e := range effectsOf[Send](effects) {
+		if e.To == address && e.Message.Verdict != nil {
+			return e.Message.Verdict
+		}
+	}
+	return nil
+}
+
+// TestRestartedHolderDoesNotRefuseJobOfPreviousProcess guards against a refusal as not run of a
+// job that the holder's previous process had started.
+func TestRestartedHolderDoesNotRefuseJobOfPreviousProcess(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	filler := twoTaskJob("filler")
+	filler.ExpectedRunTime = 4 * time.Second
+	require.Len(t, effectsOf[Start](b.step(Submit{Request: 1, Job: filler, Budget: 9 * time.Second})), 2)
+
+	// The origin has offered the job to the previous process, under its claim, and repeats the
+	// offer on a new link before it learns of the new claim.
+	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 500 * time.Millisecond, SubmissionID: 7, Token: b.router.cells["north"].claim.Token - 1<<(slotBits+slotUseBits)}
+	offer.Job.Stretch = 1.1 // it cannot wait for the filler
+	verdict := verdictTo(origin, b.step(Receive{From: origin, Message: Message{Offer: offer}}))
+	require.NotNil(t, verdict)
+	assert.Equal(t, WrongHolder, verdict.Outcome)
+	assert.Equal(t, offer.Token, verdict.Token)
+}
+
+// TestOfferUnderFormerClaimDoesNotStart guards against a second run of a job whose offer arrives
+// late, after the holder has lost and regained the cell.
+func TestOfferUnderFormerClaimDoesNotStart(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: 7, Token: b.router.cells["north"].claim.Token - 1}
+	effects := b.step(Receive{From: origin, Message: Message{Offer: offer}})
+	assert.Empty(t, effectsOf[Start](effects))
+	require.NotNil(t, verdictTo(origin, effects))
+	assert.Equal(t, WrongHolder, verdictTo(origin, effects).Outcome)
+}
