internal/router: an offer without a claim does not end a quarantine

Cause: a repeated offer under the same claim that no longer says that previous holders may have started the job lifts the wait for their runs.

Evidence: TestLateOfferWithoutClaimDoesNotEndQuarantine failed before (two starts).

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -213,7 +213,7 @@
 // submitted it again through another host, its host offers it again under another claim, or
 // the offer is a late copy of one that was already answered.
 func (r *Router) handleRepeatedOffer(j *job, origin string, o *Offer) {
-	if !j.ended && j.reoffered && !o.Reoffered && j.submissionID == o.SubmissionID && j.token == o.Token {
+	if !j.ended && j.reoffered && !o.Reoffered && j.submissionID == o.SubmissionID && o.Token != 0 && j.token == o.Token {
 		// Under the same claim the job was offered as possibly started first, so this offer is
 		// the later one: its previous holders have not started it.
 		j.reoffered, j.previousZones = false, nil
--- a/internal/router/stale_offer_test.go
+++ b/internal/router/stale_offer_test.go
@@ -50,3 +50,18 @@
 	require.NotNil(t, verdictTo(origin, effects))
 	assert.Equal(t, WrongHolder, verdictTo(origin, effects).Outcome)
 }
+
+// TestLateOfferWithoutClaimDoesNotEndQuarantine guards against a second run of a job that
+// a host of a build whose offers name no claim has offered twice: the offer that arrives last may be
+// the one that was sent first.
+func TestLateOfferWithoutClaimDoesNotEndQuarantine(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	b.router.previousTargets["gone"] = &previousTarget{target: Target{ID: "gone", Zone: "north"}, reportedAt: b.now}
+	first := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: 7}
+	second := *first
+	second.Reoffered, second.PreviousZones, second.RunBase = true, []string{"north"}, runNumberStride
+	assert.Empty(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: &second}})))
+	assert.Empty(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: first}})))
+}
