internal/router: the log tells under which claim a job was refused

The hypotheses on the refused job that ran differ in the claim under which it was offered and in the process that answered: neither was in the log, and offers that a host did not accept left no line at all. refuse, admit, verdict, answer and repeat now have the token, misdirect is new.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -124,6 +124,9 @@
 	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
 	stale := p != nil && !r.isReachable(p) // the offer may have been in transit since the connection was cut
 	if c == nil || !c.heldHere || stale || !c.isOfferCurrent(o) {
+		r.emit(Decision{Action: "misdirect", Job: o.Job.ID, Routine: true, Pairs: []any{
+			"origin", origin.Address, "offered", o.Token, "token", r.cell(cmp.Or(o.Zone, origin.Zone)).claim.Token, "held", c != nil && c.heldHere, "stale", stale,
+		}})
 		r.sendVerdict(origin.Address, Verdict{ID: o.Job.ID, Outcome: WrongHolder, SubmissionID: o.SubmissionID, Token: o.Token})
 		return
 	}
@@ -221,7 +224,7 @@
 	}
 	j.origin, j.submissionID, j.token = origin, o.SubmissionID, max(j.token, o.Token)
 	j.deadline = later(j.deadline, r.now.Add(o.TimeLeft))
-	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "over", j.ended, "outcome", j.verdict.Outcome}})
+	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "offered", o.Token, "resent", o.Reoffered, "over", j.ended, "outcome", j.verdict.Outcome}})
 	if j.ended {
 		j.verdict.SubmissionID, j.verdict.Token = o.SubmissionID, j.token
 		r.sendVerdict(origin, j.verdict)
@@ -278,7 +281,7 @@
 	return append([]any{
 		"route", j.spec.Route, "tasks", j.spec.Count, "cpu", j.spec.Need.CPU, "expect", j.expectedRunTime.Round(time.Millisecond).String(), "declared", j.spec.ExpectedRunTime.String(),
 		"slack", j.latestStart.Sub(r.now).Round(time.Millisecond).String(), "left", j.deadline.Sub(r.now).Round(time.Millisecond).String(),
-		"queued", r.queue.Len(), "directory", r.directory.Version, "resent", j.reoffered, "excess", j.exceedsShare, "waited", j.likelyRetry,
+		"queued", r.queue.Len(), "directory", r.directory.Version, "resent", j.reoffered, "token", j.token, "origin", j.origin, "excess", j.exceedsShare, "waited", j.likelyRetry,
 	}, more...)
 }
 
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -286,7 +286,7 @@
 	delete(r.requestsByJob, q.job.ID)
 	r.emit(Decision{Action: "answer", Job: q.job.ID, Routine: v.Outcome == Complete, Pairs: []any{
 		"outcome", v.Outcome, "reason", v.Reason, "route", q.job.Route, "spent", r.now.Sub(q.arrivedAt).Round(time.Millisecond).String(),
-		"left", q.deadline.Sub(r.now).Round(time.Millisecond).String(), "after", v.RetryAfter.String(), "holders", len(q.previousZones),
+		"left", q.deadline.Sub(r.now).Round(time.Millisecond).String(), "after", v.RetryAfter.String(), "holders", len(q.previousZones), "holder", q.holder, "token", q.token,
 	}})
 	for _, id := range q.clientRequests {
 		delete(r.openRequests, id)
