internal/router: a withdrawal ends its own submission only

What callers could see: "failed" for a job that they had submitted again and that was running.

Cause: the same class as offers under a former claim: a message acted on whatever went by its job's name. The withdrawal of a submission whose client had disconnected can arrive after the offer of the next submission, if the first waits in a connection that was replaced meanwhile.

Evidence: TestLateWithdrawalDoesNotEndResubmittedJob failed without the comparison. A withdrawal now names its submission, as offers and verdicts do; hosts of the previous build name none and are obeyed as before.

--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -46,7 +46,7 @@
 
 func (r *Router) sendWithdraw(q *request) {
 	if p := r.peers[q.holder]; p != nil {
-		r.send(p, Message{Withdraw: &Withdraw{ID: q.job.ID}})
+		r.send(p, Message{Withdraw: q.newWithdraw()})
 	}
 }
 
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -391,14 +391,17 @@
 }
 
 // handleWithdraw ends a job that no client waits for any more. A nil peer stands for this host.
-func (r *Router) handleWithdraw(p *peer, id string) {
-	j := r.jobs[id]
+func (r *Router) handleWithdraw(p *peer, w *Withdraw) {
+	j := r.jobs[w.ID]
 	if j == nil || j.ended {
 		return
 	}
 	if p != nil && j.origin != p.member.Address {
 		return // the client has submitted the job through another host since
 	}
+	if w.SubmissionID != 0 && j.submissionID != w.SubmissionID {
+		return // the client has submitted the job again since
+	}
 	r.endJob(j, Verdict{Outcome: Failed, Reason: Withdrawn})
 }
 
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -165,6 +165,8 @@
 // Withdraw tells a holder that no client waits for a job any more.
 type Withdraw struct {
 	ID string `cbor:"1,keyasint"`
+	// SubmissionID is the ID of the withdrawn submission; 0 means any.
+	SubmissionID int64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Outcome is how a job ended.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -195,7 +195,7 @@
 		v.Outcome, v.RetryAfter = Refused, noHolderRetryAfter
 	}
 	if p := r.peers[q.holder]; p != nil && q.holder != "" {
-		r.send(p, Message{Withdraw: &Withdraw{ID: q.job.ID}})
+		r.send(p, Message{Withdraw: q.newWithdraw()})
 	}
 	r.answerRequest(q, v)
 }
@@ -269,15 +269,20 @@
 // withdraws the job from its current holder.
 func (r *Router) answerAndWithdraw(q *request, v Verdict) {
 	r.answerRequest(q, v)
-	r.withdrawFrom(q.holder, q.job.ID)
+	r.withdrawFrom(q.holder, q)
 }
 
-// withdrawFrom withdraws a job from a holder. It does nothing if holder is empty.
-func (r *Router) withdrawFrom(holder, id string) {
+// newWithdraw creates the withdrawal of a request.
+func (q *request) newWithdraw() *Withdraw {
+	return &Withdraw{ID: q.job.ID, SubmissionID: q.arrivedAt.UnixNano()}
+}
+
+// withdrawFrom withdraws a request's job from a holder. It does nothing if holder is empty.
+func (r *Router) withdrawFrom(holder string, q *request) {
 	if holder == r.Self.Address {
-		r.handleWithdraw(nil, id)
+		r.handleWithdraw(nil, q.newWithdraw())
 	} else if p := r.peers[holder]; p != nil {
-		r.send(p, Message{Withdraw: &Withdraw{ID: id}})
+		r.send(p, Message{Withdraw: q.newWithdraw()})
 	}
 }
 
@@ -322,7 +327,7 @@
 
 // withdrawRequest withdraws a job from its holder and ends the request.
 func (r *Router) withdrawRequest(q *request) {
-	r.withdrawFrom(q.holder, q.job.ID)
+	r.withdrawFrom(q.holder, q)
 	if r.requestsByJob[q.job.ID] == q {
 		r.answerRequest(q, Verdict{ID: q.job.ID, Outcome: Failed, Reason: Withdrawn})
 	}
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -125,7 +125,7 @@
 	case m.Offer != nil:
 		r.handleOffer(p, m.Offer)
 	case m.Withdraw != nil:
-		r.handleWithdraw(p, m.Withdraw.ID)
+		r.handleWithdraw(p, m.Withdraw)
 	case m.Verdict != nil:
 		r.handleVerdict(p.member.Address, *m.Verdict)
 	case m.Progress != nil:
--- a/internal/router/stale_offer_test.go
+++ b/internal/router/stale_offer_test.go
@@ -65,3 +65,21 @@
 	assert.Empty(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: &second}})))
 	assert.Empty(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: first}})))
 }
+
+// TestLateWithdrawalDoesNotEndResubmittedJob guards against a job that is answered as failed because
+// the withdrawal of its earlier submission arrives after it.
+func TestLateWithdrawalDoesNotEndResubmittedJob(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: 8, Token: b.router.cells["north"].claim.Token}
+	require.Len(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: offer}})), 2)
+	for _, test := range []struct {
+		submissionID int64
+		ends         bool
+	}{{7, false}, {8, true}, {0, true}} {
+		b.router.jobs["j"].ended = false
+		effects := b.step(Receive{From: origin, Message: Message{Withdraw: &Withdraw{ID: "j", SubmissionID: test.submissionID}}})
+		assert.Equal(t, test.ends, verdictTo(origin, effects) != nil, "submission %d", test.submissionID)
+	}
+}
