--- /dev/null
+++ b/internal/modeler/disruption_test.go
@@ -0,0 +1,85 @@
+package modeler
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// connectionFaults are the faults that randomConnectionSimulation draws from.
+var connectionFaults = []Fault{
+	{Kind: ReplaceLinks, Selector: "holder"},
+	{Kind: ReplaceLinks, Selector: "holder"},
+	{Kind: ReplaceLinks},
+	{Kind: MuteLinks, Selector: "holder"},
+	{Kind: MuteLinks},
+	{Kind: CutOneWay, Selector: "holder"},
+	{Kind: CutOneWay},
+	{Kind: CutStores},
+	{Kind: CrashHost, Selector: "holder"},
+	{Kind: CrashHost, Selector: "holder"},
+	{Kind: CrashHost},
+	{Kind: CrashHost, Selector: "zone"},
+	{Kind: CrashHost, Selector: "zone"},
+	{Kind: SlowHost, Selector: "holder"},
+	{Kind: SlowHost},
+	{Kind: CrashTargets, TargetShare: 0.1},
+	{Kind: ResizeTarget, TargetShare: 0.5},
+	{Kind: PauseHost, Selector: "holder"},
+	{Kind: PauseHost},
+	{Kind: PartitionHost, Selector: "holder"},
+	{Kind: RestartHost, Selector: "holder"},
+	{Kind: Burst, RateFactor: 3},
+}
+
+// randomConnectionSimulation draws a small deployment, mostly with a holder for each zone, under
+// so much load in some of its zones that jobs are refused, with three to eight faults.
+func randomConnectionSimulation(seed uint64) *Simulation {
+	random := rand.New(rand.NewPCG(seed, 9))
+	sim := testSimulation(0.2+0.3*random.Float64(), 9*time.Second)
+	sim.Seed = seed
+	sim.Size.HostsPerZone = 2 + random.IntN(3)
+	sim.Size.TargetsPerZone = 4 + random.IntN(3)
+	sim.Size.ZoneShares = []float64{0.5, 0.3, 0.2}
+	if random.IntN(5) > 0 {
+		sim.Bounds.MaxSharedTargets = 6 // one holder per zone
+	}
+	if random.IntN(2) == 0 {
+		sim.Bounds.FullMeshHosts = 1
+	}
+	if random.IntN(4) == 0 {
+		sim.LostAnswerShare = 0.05
+	}
+	for range 3 + random.IntN(6) {
+		f := connectionFaults[random.IntN(len(connectionFaults))]
+		f.At = time.Duration(random.Int64N(int64(7 * time.Second)))
+		f.Duration = 200*time.Millisecond + time.Duration(random.Int64N(int64(4*time.Second)))
+		sim.Faults = append(sim.Faults, f)
+	}
+	addEvacuations(sim)
+	return sim
+}
+
+// TestInvariantsHoldUnderConnectionFaults checks the invariants of
+// TestInvariantsHoldUnderRandomFaults under faults of connections, slow hosts and crashes in
+// series.
+func TestInvariantsHoldUnderConnectionFaults(t *testing.T) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, runtime.GOMAXPROCS(0)) // parallel simulations
+	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
+		slots <- struct{}{}
+		group.Go(func() {
+			sim := randomConnectionSimulation(seed)
+			sim.Run()
+			if !assert.Empty(t, sim.Violations, "seed %d, %+v, targets under one holder %d, hosts in a full mesh %d, hosts per zone %d", seed, sim.Faults, sim.Bounds.MaxSharedTargets, sim.Bounds.FullMeshHosts, sim.Size.HostsPerZone) {
+				logResults(t, sim)
+			}
+			<-slots
+		})
+	}
+	group.Wait()
+}
--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -38,6 +38,7 @@
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, EvacuateZone, KillAllHosts, Burst,
+		ReplaceLinks, MuteLinks, CutOneWay, CutStores, CrashHost, SlowHost, CrashTargets, ResizeTarget,
 	}
 }
 
@@ -86,6 +87,8 @@
 			h.kill()
 			sm.schedule(f.Duration+time.Duration(sm.random.Int64N(int64(300*time.Millisecond))), h.startProcess)
 		}
+	default:
+		sm.injectDisruption(f)
 	}
 }
 
