--- a/internal/modeler/disruption.go
+++ b/internal/modeler/disruption.go
@@ -7,6 +7,7 @@
 // random zone. ResizeTarget affects a random TargetShare of the targets, and CrashTargets that
 // share of them each second.
 const (
+	SuspendHost  FaultKind = "suspend"       // as PauseHost, and the host accepts no links until it continues
 	ReplaceLinks FaultKind = "replace-links" // links of a host are replaced, and messages on the old ones arrive late
 	MuteLinks    FaultKind = "mute-links"    // links of a host lose all messages until they are replaced
 	CutOneWay    FaultKind = "cut-one-way"   // messages pass in one direction only between a host and others
--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -38,7 +38,7 @@
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, EvacuateZone, KillAllHosts, Burst,
-		ReplaceLinks, MuteLinks, CutOneWay, CutStores, CrashHost, SlowHost, CrashTargets, ResizeTarget,
+		SuspendHost, ReplaceLinks, MuteLinks, CutOneWay, CutStores, CrashHost, SlowHost, CrashTargets, ResizeTarget,
 	}
 }
 
@@ -61,7 +61,7 @@
 
 func (sm *Simulation) injectFault(f Fault) {
 	switch f.Kind {
-	case KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore:
+	case KillHost, PauseHost, SuspendHost, RestartHost, PartitionHost, PartitionStore:
 		sm.injectHostFault(f, sm.pickHost(f.Selector))
 	case PartitionZone:
 		sm.partitionZone(f)
@@ -124,9 +124,9 @@
 	case KillHost:
 		h.kill()
 		sm.schedule(f.Duration, h.startProcess)
-	case PauseHost:
+	case PauseHost, SuspendHost:
 		if h.up {
-			h.paused = true
+			h.paused, h.suspended = true, f.Kind == SuspendHost
 			incarnation := h.incarnation
 			sm.schedule(f.Duration, func() {
 				if h.incarnation == incarnation {
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -18,6 +18,7 @@
 	incarnation int
 	up          bool
 	paused      bool
+	suspended   bool // paused, and accepts no links; see SuspendHost
 	leaving     bool
 	deferred    []func() // events that arrived while the process was paused
 	startedAt   time.Time
@@ -41,7 +42,7 @@
 		return
 	}
 	h.incarnation++
-	h.up, h.paused, h.leaving, h.deferred, h.startedAt = true, false, false, nil, h.sim.now
+	h.up, h.paused, h.suspended, h.leaving, h.deferred, h.startedAt = true, false, false, false, nil, h.sim.now
 	h.links, h.deliveredAt = make(map[string]bool), make(map[string]time.Time)
 	h.heldUntil, h.muted = make(map[string]time.Time), make(map[string]bool)
 	h.lag, h.handledUntil = 0, time.Time{}
@@ -104,7 +105,7 @@
 	if !h.paused {
 		return
 	}
-	h.paused, h.resumedAt = false, h.sim.now
+	h.paused, h.suspended, h.resumedAt = false, false, h.sim.now
 	deferred := h.deferred
 	h.deferred = nil
 	for _, action := range deferred {
@@ -241,7 +242,7 @@
 			return
 		}
 		canConnect := sim.canReach(h.name, h.zone, to.name, to.zone) && sim.canReach(to.name, to.zone, h.name, h.zone)
-		if canConnect && to.up {
+		if canConnect && to.up && !to.suspended {
 			h.links[address] = true
 			delete(h.deliveredAt, address)
 			delete(h.heldUntil, address)
@@ -249,7 +250,7 @@
 			h.step(router.LinkOpened{Address: address})
 			return
 		}
-		if canConnect {
+		if canConnect && !to.up {
 			h.step(router.PeerExited{Address: address})
 		}
 		h.schedule(redialDelay, func() { h.dial(address) })
