internal/router: a holder remembers an ended job until its host has answered

Callers saw a job refused as not run, although its tasks had been started: the host that had taken the job was paused for more than five seconds. Its holder ended the job after OriginTimeout, with a verdict that the replaced connection lost, and forgot it after VerdictRetention. When the host continued, it offered the job again under the same claim. The holder took it for a new one and refused it for overload, and the host passed the refusal on.

An ended job is now retained until its deadline and answerGrace are over, if that is later than VerdictRetention. After that its host has answered the client, so no verdict can reach it. Most jobs have deadlines below VerdictRetention and are retained as long as before.

--- a/internal/modeler/disruption_test.go
+++ b/internal/modeler/disruption_test.go
@@ -64,6 +64,32 @@
 	return sim
 }
 
+// longPauseSimulation draws a deployment with a holder for each zone under high load, three of
+// whose hosts are paused for longer than holders retain verdicts.
+func longPauseSimulation(seed uint64) *Simulation {
+	random := rand.New(rand.NewPCG(seed, 10))
+	sim := testSimulation(0.4+0.3*random.Float64(), 14*time.Second)
+	sim.Seed = seed
+	sim.Size.HostsPerZone, sim.Size.TargetsPerZone = 3, 6
+	sim.Bounds.MaxSharedTargets = 6
+	for range 3 {
+		f := Fault{Kind: SuspendHost, At: time.Duration(random.Int64N(int64(5 * time.Second)))}
+		f.Duration = sim.Bounds.VerdictRetention + 600*time.Millisecond + time.Duration(random.Int64N(int64(2*time.Second)))
+		sim.Faults = append(sim.Faults, f)
+	}
+	return sim
+}
+
+// TestLongPauseOfHostsDoesNotRefuseStartedJobs guards against refusals as not run of jobs that a
+// holder had forgotten when the hosts of their clients offered them again.
+func TestLongPauseOfHostsDoesNotRefuseStartedJobs(t *testing.T) {
+	for seed := uint64(33); seed < 35; seed++ {
+		sim := longPauseSimulation(seed)
+		sim.Run()
+		assert.Empty(t, sim.Violations, "seed %d", seed)
+	}
+}
+
 // TestInvariantsHoldUnderConnectionFaults checks the invariants of
 // TestInvariantsHoldUnderRandomFaults under faults of connections, slow hosts and crashes in
 // series.
--- a/internal/router/bounds.go
+++ b/internal/router/bounds.go
@@ -68,7 +68,7 @@
 	// again, unless all targets obey this host earlier. It covers OriginTimeout, a stop
 	// and a lease.
 	QuarantineDuration time.Duration
-	// VerdictRetention is how long verdicts are retained to answer repeated
+	// VerdictRetention is how long verdicts are retained at least to answer repeated
 	// submissions.
 	VerdictRetention time.Duration
 	// DirectoryInterval is the interval of reads of the directory. Two reads fit into
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -28,7 +28,8 @@
 	// ended is set once the verdict is given.
 	ended   bool
 	verdict Verdict
-	endedAt time.Time // time of the verdict
+	// retainedUntil is until when the ended job is known here; see retainJob.
+	retainedUntil time.Time
 
 	arrivedAt    time.Time // at the host of its client
 	offeredAt    time.Time // at this host
@@ -163,34 +164,16 @@
 // of. Offers of builds that name no claim count as current.
 func (c *cell) isOfferCurrent(o *Offer) bool { return o.Token == 0 || o.Token == c.claim.Token }
 
-// refuseJob ends a job that was not admitted and sends the verdict. The job is retained for
-// Bounds.VerdictRetention, because a copy of its offer may still arrive over a connection that
-// was replaced.
+// refuseJob ends a job that was not admitted and sends the verdict. The job is retained, because
+// a copy of its offer may still arrive over a connection that was replaced.
 func (r *Router) refuseJob(j *job, v Verdict) {
 	v.SubmissionID, v.Token = j.submissionID, j.token
-	j.ended, j.verdict, j.endedAt = true, v, r.now
+	j.ended, j.verdict = true, v
 	r.jobs[j.spec.ID] = j
-	r.endedJobs = append(r.endedJobs, j)
+	r.retainJob(j)
 	r.sendVerdict(j.origin, v)
 }
 
-// isLateCopy reports whether an offer is a late copy of an offer whose final verdict was
-// already sent to the job's host.
-func (j *job) isLateCopy(origin string, o *Offer) bool {
-	isFinal := j.verdict.Outcome != WrongHolder && (j.verdict.Outcome != Returned || j.token == o.Token)
-	return j.ended && isFinal && j.origin == origin && j.submissionID == o.SubmissionID && o.SubmissionID != 0
-}
-
-// canRunAgain reports whether a job has ended in such a way that its client may submit it
-// again.
-func (j *job) canRunAgain() bool {
-	switch j.verdict.Outcome {
-	case Unknown, Refused, WrongHolder, Returned:
-		return j.ended
-	}
-	return j.ended && j.verdict.Reason == Withdrawn
-}
-
 // inheritRuns makes the tasks of a job wait for runs of its earlier submission that may
 // continue, and use higher run numbers than these runs.
 func (j *job) inheritRuns(earlier *job) {
@@ -368,7 +351,7 @@
 	if v.Outcome == Complete && j.doneCount != len(j.tasks) {
 		r.reportViolation("complete or failed", "job %s would be complete with %d of %d tasks done", j.spec.ID, j.doneCount, len(j.tasks))
 	}
-	j.ended, j.verdict, j.endedAt = true, v, r.now
+	j.ended, j.verdict = true, v
 	r.queue.Remove(j)
 	if !j.firstStartAt.IsZero() {
 		r.emitStageDuration(j, Ended, j.firstStartAt)
@@ -376,7 +359,7 @@
 	pairs := r.decisionPairs(j, "outcome", v.Outcome, "reason", v.Reason, "done", j.doneCount, "begun", j.mayHaveStarted)
 	r.emit(Decision{Action: "verdict", Job: j.spec.ID, Pairs: pairs, Routine: v.Outcome == Complete})
 	r.stopRuns(j)
-	r.endedJobs = append(r.endedJobs, j)
+	r.retainJob(j)
 	r.sendVerdict(j.origin, v)
 }
 
@@ -426,10 +409,10 @@
 		if j.ended || j.zone != zone {
 			continue
 		}
-		j.ended, j.endedAt, j.verdict = true, r.now, Verdict{ID: id, Outcome: WrongHolder}
+		j.ended, j.verdict = true, Verdict{ID: id, Outcome: WrongHolder}
 		r.queue.Remove(j)
 		r.stopRuns(j)
-		r.endedJobs = append(r.endedJobs, j) // retained for Bounds.VerdictRetention, in case the job is offered again
+		r.retainJob(j)
 	}
 }
 
@@ -469,19 +452,13 @@
 	}
 }
 
-// checkJobs aborts jobs that can no longer finish in time, removes ended jobs after
-// VerdictRetention and ends jobs at their deadline.
+// checkJobs aborts jobs that can no longer finish in time, removes ended jobs that need not be
+// retained and ends jobs at their deadline.
 func (r *Router) checkJobs() {
 	for _, j := range slices.Clone(r.queue.Items()) {
 		r.recheckQueuedJob(j)
 	}
-	for len(r.endedJobs) > 0 && r.now.Sub(r.endedJobs[0].endedAt) > r.Bounds.VerdictRetention {
-		j := r.endedJobs[0]
-		r.endedJobs = r.endedJobs[1:]
-		if r.jobs[j.spec.ID] == j {
-			delete(r.jobs, j.spec.ID)
-		}
-	}
+	r.forgetJobs()
 	var expired []*job
 	for _, j := range r.jobs {
 		if !j.ended && r.now.After(j.deadline) {
--- /dev/null
+++ b/internal/router/retention_test.go
@@ -0,0 +1,33 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestStartedJobIsNotRefusedAfterLongSilenceOfItsHost guards against a refusal as not run of a job
+// that the holder had started and forgotten before its host, which was paused, offered it again.
+func TestStartedJobIsNotRefusedAfterLongSilenceOfItsHost(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 20 * time.Second, SubmissionID: 7, Token: b.router.cells["north"].claim.Token}
+	first := offer
+	require.Len(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: &first}})), 2)
+
+	silence := b.router.Bounds.OriginTimeout + b.router.Bounds.VerdictRetention + time.Second
+	b.advance(silence)
+	b.receiveHeartbeatFrom(origin)
+	offer.TimeLeft -= silence
+	var verdicts []Verdict
+	for _, e := range effectsOf[Send](b.step(Receive{From: origin, Message: Message{Offer: &offer}})) {
+		if e.Message.Verdict != nil {
+			verdicts = append(verdicts, *e.Message.Verdict)
+		}
+	}
+	require.Len(t, verdicts, 1)
+	assert.Equal(t, Unknown, verdicts[0].Outcome)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,7 +71,7 @@
 	queue               holder.Heap[*job]
 	targets             map[string]*target
 	sortedTargets       []*target             // sorted by ID
-	endedJobs           []*job                // oldest first
+	endedJobs           []*job                // by retainedUntil, earliest first
 	unreportedTasks     map[string][]DoneTask // completed tasks that are not reported yet, by address of the job's host
 	routeModels         map[string]*history   // by route
 	kindSpeeds          map[string]*KindSpeed // by kind of target
