internal/router: what a restarted holder says about former offers does not count

Callers may see a job refused as not run that had been started: the process of its holder ended and another one started at the same address. While hosts of the previous build run beside new ones, such a holder takes an offer that was made under the former claim for a new job and refuses it under the token of that offer. To the job's host this was the verdict of the current holder, or, once it knew the new claim, a late verdict that cleared the job of its history.

A host now notes the change of the holder as soon as a heartbeat shows the new process, which precedes its verdicts, and keeps the offers to the former one unresolved. The job is offered as one that may have started.

Evidence: TestRefusalByRestartedHolderIsNotReported got the refusal as the answer before.

--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -24,7 +24,8 @@
 	// previousZones are the zones whose targets a previous holder may have used. The list is
 	// empty until the holder has changed.
 	previousZones []string
-	// unresolvedOffers are the offers to previous holders that may have started the job.
+	// unresolvedOffers are the offers to previous holders that may have started the job. The zero
+	// value stands for one whose process has ended, so that it stays unresolved.
 	unresolvedOffers []pastOffer
 	// spill is set while the job is offered to another zone after the own zone's refusal.
 	spill spill
@@ -146,6 +147,22 @@
 	q.holder, q.token = "", 0
 }
 
+// recordHolderRestart notes that the process of a host has ended, which was offered requests and can
+// no longer tell whether it has started them. What its next process says about these offers does
+// not count.
+func (r *Router) recordHolderRestart(address string) {
+	for _, q := range r.requestsByJob {
+		if q.holder == address {
+			r.recordHolderChange(q)
+		}
+		for i := range q.unresolvedOffers {
+			if q.unresolvedOffers[i].holder == address {
+				q.unresolvedOffers[i] = pastOffer{}
+			}
+		}
+	}
+}
+
 // offerAllRequests offers every request to the current holder.
 func (r *Router) offerAllRequests() {
 	for _, id := range sortedKeys(r.requestsByJob) {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -191,6 +191,9 @@
 	if p == nil || m.Incarnation < p.member.Incarnation {
 		return nil
 	}
+	if m.Incarnation > p.member.Incarnation {
+		r.recordHolderRestart(p.member.Address)
+	}
 	if m.Incarnation > p.member.Incarnation && p.hasBeenReachable {
 		r.recordHostLoss(p)
 		r.emit(Decision{Action: "peer", Pairs: []any{"peer", m.Name, "state", "restarted"}})
