internal/router: a late offer of a refused submission does not start the job

What callers saw, as far as this is what the users report: a task ran although each submission of its job had been answered 503.

Cause: a holder remembered only the newest submission of a job. A host offers the job on a connection that stalls and repeats the offer on a new one; the holder refuses, the client comes back after the time given and is refused again, which replaced what the holder knew of the first submission. The copy from the first connection then counted as a new submission, and started the job.

Evidence: TestLateOfferOfRefusedSubmissionDoesNotStart, with the second submission through the same host and through another, failed before with two starts each.

A job now keeps the submissions that were answered. Their offers are answered and start nothing.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -18,9 +18,11 @@
 	zone         string // zone of the cell for which the job was offered
 	token        uint64 // token of the claim under which the job was offered
 	submissionID int64  // identifies the submission; see Offer.SubmissionID
-	tasks        []task
-	waitingCount int // tasks in state taskWaiting
-	doneCount    int
+	// earlierSubmissions are those that were answered before this one was offered.
+	earlierSubmissions []submission
+	tasks              []task
+	waitingCount       int // tasks in state taskWaiting
+	doneCount          int
 	// mayHaveStarted is set once a task may have started.
 	mayHaveStarted bool
 	// mayHaveStartedEarlier is set if a task may have started for an earlier submission.
@@ -132,6 +134,10 @@
 		return
 	}
 	previous := r.jobs[o.Job.ID]
+	if previous != nil && previous.isOutdated(origin.Address, o) {
+		r.handleOutdatedOffer(previous, origin.Address, o)
+		return
+	}
 	if previous != nil && (!previous.canRunAgain() || previous.isLateCopy(origin.Address, o)) {
 		r.handleRepeatedOffer(previous, origin.Address, o)
 		return
--- /dev/null
+++ b/internal/router/late_copy_test.go
@@ -0,0 +1,45 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestLateOfferOfRefusedSubmissionDoesNotStart guards against a start of a job of which every
+// submission was refused: a copy of the first one's offer arrives after the second was refused.
+func TestLateOfferOfRefusedSubmissionDoesNotStart(t *testing.T) {
+	for _, second := range []string{"10.0.0.9:1", "10.0.0.8:1"} {
+		const first = "10.0.0.9:1"
+		b := newHolderBed(t, 1, ClaimWon)
+		b.receiveHeartbeatFrom(first)
+		b.receiveHeartbeatFrom(second)
+		filler := twoTaskJob("filler")
+		filler.ExpectedRunTime = 4 * time.Second
+		require.Len(t, effectsOf[Start](b.step(Submit{Request: 1, Job: filler, Budget: 9 * time.Second})), 2)
+
+		offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: 7, Token: b.router.cells["north"].claim.Token}
+		offer.Job.Stretch = 1.1 // it cannot wait for the filler
+		verdict := verdictTo(first, b.step(Receive{From: first, Message: Message{Offer: offer}}))
+		require.NotNil(t, verdict)
+		require.Equal(t, Refused, verdict.Outcome)
+		again := *offer
+		again.SubmissionID = 8
+		verdict = verdictTo(second, b.step(Receive{From: second, Message: Message{Offer: &again}}))
+		require.NotNil(t, verdict)
+		require.Equal(t, Refused, verdict.Outcome)
+
+		b.step(ClientGone{Request: 1}) // its runs are stopped, so there is room again
+		for _, task := range []string{"filler.0.0.0", "filler.0.0.1"} {
+			b.step(StopAnswered{Target: "p", Task: task, Run: 1, Acknowledged: true})
+		}
+		for _, renew := range effectsOf[Renew](b.advance(200 * time.Millisecond)) {
+			b.answerRenewal(renew)
+		}
+		b.receiveHeartbeatFrom(first)
+		b.receiveHeartbeatFrom(second)
+		assert.Empty(t, effectsOf[Start](b.step(Receive{From: first, Message: Message{Offer: offer}})), "second submission through %s", second)
+	}
+}
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -1,5 +1,13 @@
 package router
 
+import "slices"
+
+// submission identifies a submission of a job.
+type submission struct {
+	origin string // address of the host that received it
+	id     int64  // see Offer.SubmissionID
+}
+
 // isOfferCurrent reports whether an offer was made under the cell's current claim. One that was
 // made under a former claim may have been accepted by a process that this host does not know
 // of. Offers of builds that name no claim count as current.
@@ -12,6 +20,23 @@
 	return j.ended && isFinal && j.origin == origin && j.submissionID == o.SubmissionID && o.SubmissionID != 0
 }
 
+// isOutdated reports whether an offer is a late copy that belongs to an earlier submission of the
+// job than the current one.
+func (j *job) isOutdated(origin string, o *Offer) bool {
+	return o.SubmissionID != 0 && slices.Contains(j.earlierSubmissions, submission{origin, o.SubmissionID})
+}
+
+// handleOutdatedOffer answers an offer of an earlier submission. It must not start the job, whose
+// client may have been told since that the job is not run.
+func (r *Router) handleOutdatedOffer(j *job, origin string, o *Offer) {
+	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "offered", o.Token, "resent", o.Reoffered, "over", j.ended, "outdated", true}})
+	v := Verdict{ID: j.spec.ID, Outcome: Unknown, Reason: j.verdict.Reason, SubmissionID: o.SubmissionID, Token: o.Token}
+	if j.ended && (j.verdict.Outcome == Complete || j.verdict.Outcome == Refused) {
+		v.Outcome, v.RetryAfter = j.verdict.Outcome, j.verdict.RetryAfter
+	}
+	r.sendVerdict(origin, v)
+}
+
 // canRunAgain reports whether a job has ended in such a way that its client may submit it
 // again.
 func (j *job) canRunAgain() bool {
@@ -23,12 +48,18 @@
 }
 
 // inheritRuns makes the tasks of a job wait for runs of its earlier submission that may
-// continue, and use higher run numbers than these runs.
+// continue, and use higher run numbers than these runs. It also remembers the submissions that
+// were answered.
 func (j *job) inheritRuns(earlier *job) {
 	if earlier == nil {
 		return
 	}
 	j.mayHaveStartedEarlier = earlier.mayHaveStarted || earlier.mayHaveStartedEarlier
+	j.earlierSubmissions = slices.Clone(earlier.earlierSubmissions)
+	isOpen := earlier.verdict.Outcome == WrongHolder || earlier.verdict.Outcome == Returned // its host offers it again
+	if s := (submission{earlier.origin, earlier.submissionID}); !isOpen && s != (submission{j.origin, j.submissionID}) {
+		j.earlierSubmissions = append(j.earlierSubmissions, s)
+	}
 	for i := range min(len(j.tasks), len(earlier.tasks)) {
 		k, old := &j.tasks[i], &earlier.tasks[i]
 		k.lastRun, k.previousRun = max(k.lastRun, old.lastRun), old.run
