internal/router: a late offer of an earlier submission does not replace the later one

What callers could see: no answer before their deadline, and work that went on for nobody.

Cause: an offer of an open job set the job's submission to its own, also if it was a late copy of an earlier submission through the same host. The verdict then named a submission that the host no longer had, and the withdrawal of the later one was ignored.

Evidence: TestLateOfferOfEarlierSubmissionKeepsLaterOne failed before. Submissions of a host are numbered by their time, so an offer with a lower number is a late copy and is only answered.

--- a/internal/router/late_copy_test.go
+++ b/internal/router/late_copy_test.go
@@ -43,3 +43,19 @@
 		assert.Empty(t, effectsOf[Start](b.step(Receive{From: first, Message: Message{Offer: offer}})), "second submission through %s", second)
 	}
 }
+
+// TestLateOfferOfEarlierSubmissionKeepsLaterOne guards against a withdrawal without effect: a late
+// offer of the earlier submission arrives between the offer of the later one and its withdrawal.
+func TestLateOfferOfEarlierSubmissionKeepsLaterOne(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	later := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: 8, Token: b.router.cells["north"].claim.Token}
+	earlier := *later
+	earlier.SubmissionID = 7
+	require.Len(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: later}})), 2)
+	b.step(Receive{From: origin, Message: Message{Offer: &earlier}})
+	assert.EqualValues(t, 8, b.router.jobs["j"].submissionID, "the verdict would be ignored")
+	b.step(Receive{From: origin, Message: Message{Withdraw: &Withdraw{ID: "j", SubmissionID: 8}}})
+	assert.True(t, b.router.jobs["j"].ended)
+}
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -23,7 +23,10 @@
 // isOutdated reports whether an offer is a late copy that belongs to an earlier submission of the
 // job than the current one.
 func (j *job) isOutdated(origin string, o *Offer) bool {
-	return o.SubmissionID != 0 && slices.Contains(j.earlierSubmissions, submission{origin, o.SubmissionID})
+	if o.SubmissionID == 0 {
+		return false
+	}
+	return origin == j.origin && o.SubmissionID < j.submissionID || slices.Contains(j.earlierSubmissions, submission{origin, o.SubmissionID})
 }
 
 // handleOutdatedOffer answers an offer of an earlier submission. It must not start the job, whose
