--- a/internal/router/late_copy_test.go
+++ b/internal/router/late_copy_test.go
@@ -59,3 +59,22 @@
 	b.step(Receive{From: origin, Message: Message{Withdraw: &Withdraw{ID: "j", SubmissionID: 8}}})
 	assert.True(t, b.router.jobs["j"].ended)
 }
+
+// TestRefusalOfRestartedHolderLeavesDoubt guards against a refusal as not run by the next process
+// at the holder's address, of a build that accepts offers under former claims.
+func TestRefusalOfRestartedHolderLeavesDoubt(t *testing.T) {
+	for _, named := range []bool{true, false} { // whether the build names claims
+		b := newOriginBed(t)
+		sent := offers(b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second}))
+		require.Len(t, sent, 1)
+		b.peer.Incarnation++
+		b.receiveHeartbeat(0)
+		refusal := Verdict{ID: "j", Outcome: Refused, Reason: Overload, SubmissionID: sent[0].SubmissionID}
+		if named {
+			refusal.Token = sent[0].Token
+		}
+		for _, v := range answers(b.receiveVerdict(refusal)) {
+			assert.NotEqual(t, Refused, v.Outcome, "token %t", named)
+		}
+	}
+}
