internal/router: the log of a misdirected offer creates no cell

The new log line looked the zone of the offer up with the method that creates a cell, so that a host could claim a zone that only an offer names. TestMisdirectedOfferCreatesNoCell failed before.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -127,8 +127,12 @@
 	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
 	stale := p != nil && !r.isReachable(p) // the offer may have been in transit since the connection was cut
 	if c == nil || !c.heldHere || stale || !c.isOfferCurrent(o) {
+		token, held := uint64(0), false
+		if c != nil {
+			token, held = c.claim.Token, c.heldHere
+		}
 		r.emit(Decision{Action: "misdirect", Job: o.Job.ID, Routine: true, Pairs: []any{
-			"origin", origin.Address, "offered", o.Token, "token", r.cell(cmp.Or(o.Zone, origin.Zone)).claim.Token, "held", c != nil && c.heldHere, "stale", stale,
+			"origin", origin.Address, "offered", o.Token, "token", token, "held", held, "stale", stale,
 		}})
 		r.sendVerdict(origin.Address, Verdict{ID: o.Job.ID, Outcome: WrongHolder, SubmissionID: o.SubmissionID, Token: o.Token})
 		return
--- a/internal/router/late_copy_test.go
+++ b/internal/router/late_copy_test.go
@@ -78,3 +78,13 @@
 		}
 	}
 }
+
+// TestMisdirectedOfferCreatesNoCell guards against a claim on a zone that only an offer names.
+func TestMisdirectedOfferCreatesNoCell(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	effects := b.step(Receive{From: origin, Message: Message{Offer: &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: 7, Zone: "nowhere", Token: 3}}})
+	require.NotNil(t, verdictTo(origin, effects))
+	assert.NotContains(t, b.router.cells, "nowhere")
+}
