internal/router: a holder that does not reach the store receives the directory

What was seen: a holder that is cut off from the store while its peers are not went on with its last directory for as long as the cut lasted, and ordered starts that exceeded the shrunk capacity of targets (409, or an overfull target where these do not guard their capacity). Leaving targets were seen late in the same way.

Cause: directories are sent by holders only. Likely successors read the store in place of a holder that does not, but they did not tell it.

Evidence: TestHolderWithoutStoreReceivesDirectory fails without the change (nothing is sent).

Why it works: a host that has read the directory recently sends newer ones to a holder that has not. It does so until the holder reports the version, so a host adopts a peer's version also if the targets do not differ (TestNewerVersionOfSameDirectoryIsAdopted, which fails without).

--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -39,11 +39,36 @@
 	return false
 }
 
+// sendsDirectoryTo reports whether this host sends a peer newer directories: as a holder, or
+// because the peer is a holder that does not reach the store while this host does.
+func (r *Router) sendsDirectoryTo(p *peer) bool {
+	if !r.sharesCells(p.member.Zone) {
+		return false
+	}
+	return r.holdsAnyCell() || r.isHolder(p) && !r.isDirectoryRecent(p.directoryAge) && r.isDirectoryRecent(r.now.Sub(r.directoryReadAt))
+}
+
+// isDirectoryRecent reports whether a directory of an age was read from the store within three
+// intervals.
+func (r *Router) isDirectoryRecent(age time.Duration) bool {
+	return age < 3*r.Bounds.DirectoryInterval
+}
+
+// isHolder reports whether a peer holds a cell that this host shares.
+func (r *Router) isHolder(p *peer) bool {
+	for zone, c := range r.cells {
+		if r.sharesCells(zone) && c.claim.Token > 0 && c.claim.Holder.Address == p.member.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // hasPeerReadDirectory reports whether a reachable peer that shares cells with this
 // host has read the directory within three intervals.
 func (r *Router) hasPeerReadDirectory() bool {
 	for _, p := range r.peers {
-		if r.sharesCells(p.member.Zone) && r.isReachable(p) && p.directoryAge+r.now.Sub(p.lastHeartbeatReceivedAt) < 3*r.Bounds.DirectoryInterval {
+		if r.sharesCells(p.member.Zone) && r.isReachable(p) && r.isDirectoryRecent(p.directoryAge+r.now.Sub(p.lastHeartbeatReceivedAt)) {
 			return true
 		}
 	}
@@ -64,7 +89,7 @@
 		r.retainMissingTargets(&e.Directory)
 	}
 	r.directoryReadAt = e.RequestedAt
-	r.adoptDirectory(e.Directory, e.RequestedAt, "store")
+	r.adoptDirectory(e.Directory, e.RequestedAt, storeSource)
 }
 
 // maxShortOutage is how long the store may be unavailable before the directory entries
@@ -91,7 +116,7 @@
 	if r.isStoreOutageRecent() && r.now.Sub(p.reachableSince) <= r.Bounds.UnlistedGrace && d.Version > r.directory.Version {
 		r.retainMissingTargets(&d)
 	}
-	r.adoptDirectory(d, r.now.Add(-p.directoryAge), "peer")
+	r.adoptDirectory(d, r.now.Add(-p.directoryAge), peerSource)
 }
 
 // retainMissingTargets adds the targets of the current directory that d lacks, because
@@ -114,14 +139,32 @@
 	}
 }
 
+// directorySource tells where a directory comes from.
+type directorySource string
+
+const (
+	storeSource directorySource = "store"
+	peerSource  directorySource = "peer"
+)
+
+// adoptDirectoryVersion replaces the current directory by a newer one of a peer that lists the
+// same targets, so that the peer need not send it again.
+func (r *Router) adoptDirectoryVersion(d Directory) {
+	r.directoryLog = r.directoryLog.add(r.directory, d)
+	r.directory, r.directoryMessages = d, nil
+}
+
 // adoptDirectory replaces the current directory if d is newer and differs from it.
-func (r *Router) adoptDirectory(d Directory, requestedAt time.Time, source string) {
+func (r *Router) adoptDirectory(d Directory, requestedAt time.Time, source directorySource) {
 	if d.Version < r.directory.Version || d.Version == r.directory.Version && !r.holdsUnlistedCell() {
 		return
 	}
 	r.dropForeignTargets(&d)
 	slices.SortFunc(d.Targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	if d.hasSameTargets(r.directory) {
+		if source == peerSource {
+			r.adoptDirectoryVersion(d)
+		}
 		return
 	}
 	r.emit(Decision{Action: "directory", Pairs: []any{
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -220,14 +220,15 @@
 // sendMissingState sends the peer a configuration and a directory that are newer than
 // its own. Both may be large, and there are many hosts. Therefore the configuration is
 // sent only after the peer has had time to read it from the store, by one host after
-// another, and the directory is sent by holders only.
+// another, and the directory is sent by holders, or to a holder that does
+// not reach the store.
 func (r *Router) sendMissingState(p *peer) {
 	resendDue := r.now.Sub(p.configSentAt) >= stateResendInterval
 	if r.config != nil && p.configVersion < r.config.Version && (resendDue || p.sentConfigVersion < r.config.Version) && r.now.Sub(r.configAdoptedAt) >= r.configSendDelay() {
 		p.sentConfigVersion, p.configSentAt = r.config.Version, r.now
 		r.send(p, Message{Config: r.config})
 	}
-	if r.holdsAnyCell() && r.sharesCells(p.member.Zone) && p.directoryVersion < r.directory.Version && r.isDirectoryDue(p) {
+	if r.sendsDirectoryTo(p) && p.directoryVersion < r.directory.Version && r.isDirectoryDue(p) {
 		p.directorySentAt, p.sentDirectoryVersion = r.now, r.directory.Version
 		r.send(p, r.directoryMessage(p.directoryVersion))
 	}
