modeler: targets whose capacity shrinks and grows while they run

The fault shrink-target reduces the capacity of a share of the targets for a while. The store's entry follows with the target's next heartbeat, at most 1.5 s later. Targets reject what does not fit or, with UnguardedTargets, start it. Either way an order that brings a target over the capacity that its entry has shown for more than 3 s is a violation, unless the host could not learn of it: the store did not work, the host was paused, or it reached neither the store nor a host of its cells that did. In the simulations of other tests no order may exceed the capacity at all.

--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -14,30 +14,31 @@
 // host; for PartitionZone and EvacuateZone a zone, or "" for a random zone; for Burst a kind of job, or "" for all
 // kinds. Faults of targets affect a random TargetShare of the targets.
 const (
-	KillHost         FaultKind = "kill"         // the process of a host ends and starts again
-	PauseHost        FaultKind = "freeze"       // the process of a host is paused
-	RestartHost      FaultKind = "restart"      // a host shuts down gracefully and starts again
-	PartitionHost    FaultKind = "cut-host"     // a host and the other hosts cannot reach each other
-	PartitionStore   FaultKind = "cut-store"    // a host and the store cannot reach each other
-	PartitionZone    FaultKind = "cut-zone"     // a zone is cut off from the other zones and the store
-	StoreUnavailable FaultKind = "store-down"   // the store does not answer
-	StoreSlow        FaultKind = "store-slow"   // calls take 50 times as long
-	StoreAnswersLost FaultKind = "store-lost"   // writes take effect but are not answered
-	KillTarget       FaultKind = "kill-target"  // a target ends and starts again empty
-	FailTarget       FaultKind = "fail-target"  // every new run fails after 1 ms
-	HangTarget       FaultKind = "hang-target"  // new runs never end, and all runs report no progress
-	SlowTarget       FaultKind = "slow-target"  // new runs take six times as long
-	DrainTarget      FaultKind = "drain-target" // a target is drained and leaves
-	EvacuateZone     FaultKind = "evacuate"     // the operator evacuates a zone and readmits it
-	KillAllHosts     FaultKind = "kill-all"     // the processes of all hosts end and start again
-	Burst            FaultKind = "surge"        // jobs arrive at RateFactor times their rate
+	KillHost         FaultKind = "kill"          // the process of a host ends and starts again
+	PauseHost        FaultKind = "freeze"        // the process of a host is paused
+	RestartHost      FaultKind = "restart"       // a host shuts down gracefully and starts again
+	PartitionHost    FaultKind = "cut-host"      // a host and the other hosts cannot reach each other
+	PartitionStore   FaultKind = "cut-store"     // a host and the store cannot reach each other
+	PartitionZone    FaultKind = "cut-zone"      // a zone is cut off from the other zones and the store
+	StoreUnavailable FaultKind = "store-down"    // the store does not answer
+	StoreSlow        FaultKind = "store-slow"    // calls take 50 times as long
+	StoreAnswersLost FaultKind = "store-lost"    // writes take effect but are not answered
+	KillTarget       FaultKind = "kill-target"   // a target ends and starts again empty
+	FailTarget       FaultKind = "fail-target"   // every new run fails after 1 ms
+	HangTarget       FaultKind = "hang-target"   // new runs never end, and all runs report no progress
+	SlowTarget       FaultKind = "slow-target"   // new runs take six times as long
+	DrainTarget      FaultKind = "drain-target"  // a target is drained and leaves
+	ShrinkTarget     FaultKind = "shrink-target" // a target's capacity is RateFactor times its default
+	EvacuateZone     FaultKind = "evacuate"      // the operator evacuates a zone and readmits it
+	KillAllHosts     FaultKind = "kill-all"      // the processes of all hosts end and start again
+	Burst            FaultKind = "surge"         // jobs arrive at RateFactor times their rate
 )
 
 // FaultKinds returns all kinds of fault.
 func FaultKinds() []FaultKind {
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
-		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, EvacuateZone, KillAllHosts, Burst,
+		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, EvacuateZone, KillAllHosts, Burst,
 		SuspendHost, ReplaceLinks, MuteLinks, CutOneWay, CutStores, CrashHost, SlowHost, CrashTargets, ResizeTarget,
 	}
 }
@@ -51,7 +52,7 @@
 	TargetShare float64 // share of the targets that are affected
 	// RateFactor is the factor of the arrival rate for Burst. For EvacuateZone, it is the factor
 	// of the run times at the zone's targets for coldTime after the evacuation; 1 or less
-	// means that they stay warm.
+	// means that they stay warm. For ShrinkTarget, it is the factor of the capacity.
 	RateFactor float64
 }
 
@@ -76,7 +77,7 @@
 		})
 	case StoreUnavailable, StoreSlow, StoreAnswersLost:
 		sm.injectStoreFault(f)
-	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget:
+	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget:
 		for _, id := range sm.targetIDs {
 			if sm.random.Float64() < f.TargetShare {
 				sm.injectTargetFault(f, sm.targets[id])
@@ -214,6 +215,8 @@
 				sm.store.unlistTarget(t)
 			}
 		})
+	case ShrinkTarget:
+		t.shrink(f)
 	default:
 		t.mode = modes[f.Kind]
 		sm.schedule(f.Duration, func() {
--- a/internal/modeler/tally.go
+++ b/internal/modeler/tally.go
@@ -13,6 +13,9 @@
 	Starts int
 	// EvacuatedStarts are the times from the evacuation of a zone to the starts there during it.
 	EvacuatedStarts []time.Duration
+	// ExcessStarts are the times from the change of a target's entry to the orders that exceed the
+	// capacity since then, or 0 for orders before the change.
+	ExcessStarts []time.Duration
 	// Tasks is the number of tasks of completed jobs.
 	Tasks int
 	Kinds map[string]*KindCount
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -17,16 +17,19 @@
 	up          bool
 	incarnation int
 	// drift is the relative error of the target's clock.
-	drift           float64
-	token           uint64
-	leaseEnd        time.Time
-	runs            map[string]*run
-	unackedEnds     []router.End
-	lastEndNumber   int
-	closedRuns      map[string]int // by task ID, the highest number of a run that ended or was stopped
-	used            router.Resources
-	mode            mode
-	waitingRenewals []func()
+	drift         float64
+	token         uint64
+	leaseEnd      time.Time
+	runs          map[string]*run
+	unackedEnds   []router.End
+	lastEndNumber int
+	closedRuns    map[string]int // by task ID, the highest number of a run that ended or was stopped
+	used          router.Resources
+	// capacity is the present capacity. entry.Capacity follows it at the next heartbeat.
+	capacity, defaultCapacity router.Resources
+	earlierEntries            []earlierEntry
+	mode                      mode
+	waitingRenewals           []func()
 }
 
 // mode is the way in which a target misbehaves.
@@ -58,7 +61,7 @@
 		slowFactor, label = sm.Size.SlowFactor, "b"
 	}
 	t := &target{
-		sim: sm, slowFactor: slowFactor, drift: (sm.random.Float64() - 0.5) * 0.04,
+		sim: sm, slowFactor: slowFactor, defaultCapacity: capacity, drift: (sm.random.Float64() - 0.5) * 0.04,
 		entry: router.Target{
 			ID: id, Address: "10.128.0.1:1", Service: "work", Zone: zone, Capacity: capacity, Labels: []string{label, "rack"},
 		},
@@ -75,6 +78,8 @@
 	t.runs, t.closedRuns, t.unackedEnds, t.waitingRenewals = make(map[string]*run), make(map[string]int), nil, nil
 	t.entry.StartedAt = t.sim.now.UnixMilli()
 	t.entry.Draining = false
+	t.capacity = t.defaultCapacity
+	t.showCapacity()
 	t.sim.store.listTarget(t)
 }
 
@@ -161,7 +166,8 @@
 		t.extendLease(e.LeaseEnd)
 		job := sim.jobOf(e.Task)
 		need := job.Need
-		if !t.entry.Capacity.Minus(t.used).Fits(need) {
+		sim.checkCapacity(t, h, e.Task, need)
+		if !sim.UnguardedTargets && !t.capacity.Minus(t.used).Fits(need) {
 			return router.NoCapacity
 		}
 		sim.recordStart(t, h, e)
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/router"
@@ -53,6 +54,8 @@
 	// LostAnswerShare is the share of orders and renewals that targets execute without their answer
 	// reaching the host.
 	LostAnswerShare float64
+	// UnguardedTargets makes targets start tasks for which they have no room.
+	UnguardedTargets bool
 
 	// Trace is called for each decision with the time since the start of the load and
 	// the host's name. It may be nil.
@@ -70,6 +73,7 @@
 	targets        map[string]*target
 	targetIDs      []string
 	store          *store
+	uninformedAt   map[*host]time.Time        // when a host was last seen to have no way to the directory
 	disturbedUntil map[string]time.Time       // by host, zone or "store", until when it does not work normally
 	executesLate   bool                       // a target executes a late order
 	blockedPaths   map[[2]string]bool         // by the sending and the receiving place, see canReach
@@ -138,6 +142,7 @@
 	sm.hostsByAddress = make(map[string]*host)
 	sm.targets = make(map[string]*target)
 	sm.disturbedUntil = make(map[string]time.Time)
+	sm.uninformedAt = make(map[*host]time.Time)
 	sm.blockedPaths = make(map[[2]string]bool)
 	sm.runningTasks = make(map[string]string)
 	sm.startCounts = make(map[string]int)
@@ -149,6 +154,9 @@
 	for _, f := range sm.Faults {
 		sm.scheduleFault(f)
 	}
+	if slices.ContainsFunc(sm.Faults, func(f Fault) bool { return f.Kind == ShrinkTarget }) {
+		sm.watchUninformedHosts()
+	}
 	end := sm.loadStart.Add(sm.LoadDuration + sm.DrainDuration)
 	for len(sm.events) > 0 {
 		e := heap.Pop(&sm.events).(scheduledEvent)
