internal/router: a job that fits only targets that have shrunk is refused, not failed

What clients saw: while the capacity of all large targets had shrunk, a job that needs more was answered as failed, which is final, although it would have fitted some seconds later.

Cause: a job that fits no target by the present directory was taken for hopeless.

Evidence: TestJobThatFitsOnlyFullCapacityIsRefused fails without the change ("failed", "misfit" instead of "refused", "overload").

Why it works: every host that receives the directory records the largest capacity that each kind of target has shown in a service. What would fit that is refused as overload, with the longest retry delay; what would not fails at once as before. A job that may have started or had another holder is kept in the queue, as with any other refusal. A host that starts while all targets of a kind are shrunk knows only the small capacity.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -49,9 +49,9 @@
 }
 
 // admit decides whether a job is accepted. It returns true with the verdict if the job is
-// refused: because its tasks fit no target, or because it cannot finish in time behind the jobs
+// refused: because its tasks fit no target, now or at its largest capacity, or because it cannot finish in time behind the jobs
 // that are placed before it. A job that may have started or was offered to another holder
-// before is not refused for its wait. For the other jobs, admit also records the demand of the
+// before is not refused for its wait or for a capacity that may grow. For the other jobs, admit also records the demand of the
 // route and charges an accepted job to the route's budget.
 func (r *Router) admit(j *job) (Verdict, bool) {
 	v := Verdict{ID: j.spec.ID, Outcome: Refused}
@@ -65,7 +65,7 @@
 	if j.mayHaveStarted || j.reoffered || r.Policy.Admission == AdmitAll {
 		return v, false
 	}
-	if v, refused := r.refuseEvacuated(j); refused {
+	if v, refused := r.refuseUnplaceable(j); refused {
 		return v, true
 	}
 	r.recordNeed(j)
@@ -141,6 +141,9 @@
 	fitsOpenZone fit = "open"
 	// fitsEvacuatedZone means that a task fits idle targets of evacuated zones only.
 	fitsEvacuatedZone fit = "evacuated"
+	// fitsLargestCapacity means that a task fits no target now, but would fit one if its
+	// capacity were the largest that its kind has shown.
+	fitsLargestCapacity fit = "shrunk"
 	// fitsNowhere means that a task fits no target.
 	fitsNowhere fit = "none"
 )
@@ -155,7 +158,13 @@
 			continue
 		}
 		known = true
-		if !t.Capacity.Fits(spec.Need) || !t.hasLabel(spec.Label) {
+		if !t.hasLabel(spec.Label) {
+			continue
+		}
+		if !t.Capacity.Fits(spec.Need) {
+			if best == fitsNowhere && r.largestCapacities[t.serviceKind()].Fits(spec.Need) {
+				best = fitsLargestCapacity
+			}
 			continue
 		}
 		if !r.isEvacuated(t.Zone) {
--- /dev/null
+++ b/internal/router/capacity_test.go
@@ -0,0 +1,38 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// resize delivers a directory in which all targets have the given CPU capacity.
+func (b *holderBed) resize(cpu int) []Effect {
+	entries := newTargets(len(b.router.directory.Targets))
+	for i := range entries {
+		entries[i].Capacity.CPU = cpu
+	}
+	return b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: b.router.directory.Version + 1, Targets: entries}})
+}
+
+// TestJobThatFitsOnlyFullCapacityIsRefused: a job that fits no target while the capacities are
+// small must be refused for the time being. A job that has never fitted must fail at once.
+func TestJobThatFitsOnlyFullCapacityIsRefused(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	b.resize(500)
+	got := answers(b.step(Submit{Request: 1, Job: twoTaskJob("fits later"), Budget: 5 * time.Second}))
+	require.Len(t, got, 1)
+	assert.Equal(t, Refused, got[0].Outcome)
+	assert.Equal(t, Overload, got[0].Reason)
+	assert.Equal(t, maxRetryAfter, got[0].RetryAfter)
+	large := twoTaskJob("fits never")
+	large.Need.CPU = 2001
+	got = answers(b.step(Submit{Request: 2, Job: large, Budget: 5 * time.Second}))
+	require.Len(t, got, 1)
+	assert.Equal(t, Failed, got[0].Outcome)
+	assert.Equal(t, DoesNotFit, got[0].Reason)
+	b.resize(2000)
+	assert.Len(t, effectsOf[Start](b.step(Submit{Request: 3, Job: twoTaskJob("again"), Budget: 5 * time.Second})), 2)
+}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -171,6 +171,7 @@
 		"version", d.Version, "total", d.targetCount(), "targets", len(d.Targets), "before", len(r.directory.Targets), "source", source, "age", r.formatAge(requestedAt),
 	}})
 	r.recordUnlistedTargets(d)
+	r.recordCapacities(d)
 	r.directoryLog = r.directoryLog.add(r.directory, d)
 	r.directory, r.directoryMessages = d, nil
 	r.dropUnlistedStandby()
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -99,7 +99,7 @@
 // recheckAdmission decides whether a queued job that has not started is refused after all,
 // given the work that is placed before it, in thousandths of a core times seconds.
 func (r *Router) recheckAdmission(j *job, ahead float64) (Verdict, bool) {
-	if v, refused := r.refuseEvacuated(j); refused {
+	if v, refused := r.refuseUnplaceable(j); refused {
 		return v, true
 	}
 	free, total := r.capacity(j)
@@ -109,13 +109,3 @@
 	}
 	return Verdict{Outcome: Refused, Reason: Overload, RetryAfter: min(max(r.now.Add(wait).Sub(j.latestStart), minRetryAfter), maxRetryAfter)}, true
 }
-
-// refuseEvacuated returns the refusal of a job whose tasks fit targets of evacuated zones
-// only, and false if the job fits another target. The end of an evacuation is not known,
-// so the client may retry after maxRetryAfter.
-func (r *Router) refuseEvacuated(j *job) (Verdict, bool) {
-	if r.bestFit(&j.spec) != fitsEvacuatedZone {
-		return Verdict{}, false
-	}
-	return Verdict{ID: j.spec.ID, Outcome: Refused, Reason: Evacuated, RetryAfter: maxRetryAfter}, true
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -76,6 +76,7 @@
 	routeModels         map[string]*history   // by route
 	kindSpeeds          map[string]*KindSpeed // by kind of target
 	meanWorkByRoute     map[string]float64    // mean work of a job, by route
+	largestCapacities   map[serviceKind]Resources
 	cold                coldTargets
 	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
 	routeShares         map[string]*share  // by route
@@ -124,6 +125,7 @@
 	r.spilledAt = make(map[string]time.Time)
 	r.standbyUsedAt = make(map[string]time.Time)
 	r.kindSpeeds = make(map[string]*KindSpeed)
+	r.largestCapacities = make(map[serviceKind]Resources)
 	r.meanWorkByRoute = make(map[string]float64)
 	r.routeShares = make(map[string]*share)
 	r.queue.Less = mustStartEarlier
