internal/router: a target over its shrunk capacity hides no room of the others

What was seen: nothing by callers. While the runs of a target exceed its shrunk capacity, its holder told neighbouring zones of less headroom than its other targets have, and took its targets for more than full, which moves the levels from which zones and fast targets are preferred.

Cause: the free CPU of such a target is negative and was added to that of the others.

Evidence: TestOverfullTargetHidesNoRoom fails without the change (no headroom instead of 2, utilization 1 instead of 0).

Why it works: such a target counts as full.

--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -36,3 +36,20 @@
 	b.resize(2000)
 	assert.Len(t, effectsOf[Start](b.step(Submit{Request: 3, Job: twoTaskJob("again"), Budget: 5 * time.Second})), 2)
 }
+
+// TestOverfullTargetHidesNoRoom: a target whose runs exceed its shrunk capacity must not count
+// against the room of the other targets, nor as more than full.
+func TestOverfullTargetHidesNoRoom(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	require.Len(t, effectsOf[Start](b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second})), 2)
+	entries := newTargets(2)
+	full := 0
+	if b.router.targets["q"].used.CPU > 0 {
+		full = 1
+	}
+	entries[full].Capacity.CPU = 0
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 2, Targets: entries}})
+	b.router.holderPerZone = true
+	assert.Equal(t, map[string]int{"work": 2}, b.router.headroom())
+	assert.Zero(t, b.router.currentUtilization())
+}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -248,12 +248,13 @@
 }
 
 // currentUtilization returns the utilization of the usable targets: the CPU that runs use there
-// divided by their CPU capacity, between 0 and 1.
+// divided by their CPU capacity, between 0 and 1. The runs of a target whose capacity has shrunk
+// may use more than its capacity; it counts as full.
 func (r *Router) currentUtilization() float64 {
 	used, total := 0, 0
 	for _, t := range r.sortedTargets {
 		if r.isUsable(t) {
-			used += t.used.CPU
+			used += min(t.used.CPU, t.Capacity.CPU)
 			total += t.Capacity.CPU
 		}
 	}
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -170,7 +170,7 @@
 	headroom := make(map[string]int)
 	for _, t := range r.sortedTargets {
 		if need := r.meanNeeds[t.Service]; need >= 1 && r.isUsable(t) {
-			headroom[t.Service] += int(float64(t.Capacity.CPU-t.used.CPU) / need)
+			headroom[t.Service] += int(float64(max(t.Capacity.CPU-t.used.CPU, 0)) / need)
 		}
 	}
 	for _, j := range r.queue.Items() {
