internal/router: a restarted target gets no task before its new entry is known

What was seen: by reading, no caller has reported it. A target that restarts under its ID may be of another kind. Between the run list that shows the restart and the next read of the directory, up to 0.7 s or as long as the store is down, its holder placed tasks by the entry of the earlier process: its capacity and its labels.

Evidence: TestRestartedTargetWaitsForItsEntry fails without the change (two starts at a target with room for one).

Why it works: an entry names the start of its process, as a run list does. A target whose run list is newer than its entry is not usable until the directory has the new one.

--- a/internal/router/reborn_test.go
+++ b/internal/router/reborn_test.go
@@ -55,3 +55,22 @@
 	require.Len(t, effectsOf[Start](effects), 1)
 	assert.Equal(t, old.Task, effectsOf[Start](effects)[0].Task)
 }
+
+// TestRestartedTargetWaitsForItsEntry: a target that has restarted, as its run list shows, may be
+// of another kind than its entry says. It must get no task before the directory has its new entry.
+func TestRestartedTargetWaitsForItsEntry(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	list := newTargets(1)
+	list[0].StartedAt = 1_000
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 2, Targets: list}})
+	token := b.router.targets["p"].token
+	b.step(RenewAnswered{Target: "p", Token: token, SentAt: b.now, Poll: true, Result: Running, StartedAt: 2_000, Clock: Reading{Millis: 30, At: b.now}})
+	j := twoTaskJob("j")
+	j.Stretch = 8
+	effects := b.step(Submit{Request: 1, Job: j, Budget: 5 * time.Second})
+	assert.Empty(t, effectsOf[Start](effects))
+	require.Empty(t, answers(effects))
+	list = newTargets(1)
+	list[0].StartedAt, list[0].Capacity.CPU = 2_000, 1_000
+	assert.Len(t, effectsOf[Start](b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 3, Targets: list}})), 1)
+}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -222,12 +222,16 @@
 	if !t.fenced || !t.listed || t.Draining || t.evacuated || r.now.Before(t.ejectedUntil) || r.isUnresponsive(t) {
 		return false
 	}
-	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) {
+	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasOutdatedEntry() {
 		return false
 	}
 	return len(t.orphanRunNumbers) == 0
 }
 
+// hasOutdatedEntry reports whether the directory has the entry of an earlier process of the
+// target, whose kind and capacity may differ.
+func (t *target) hasOutdatedEntry() bool { return t.StartedAt > 0 && t.incarnation > t.StartedAt }
+
 // isUnresponsive reports whether a target has missed a renewal or has not answered any for
 // longer than the interval of idle renewals.
 func (r *Router) isUnresponsive(t *target) bool {
