internal/router: a target that has no room for a task is not tried again at once

What was seen: from the shrinking of a target's capacity to the next read of its entry, up to 2.2 s, its holder went on to start tasks there, one every 100 ms, and each was rejected and delayed.

Cause: after a rejection for lack of room, the target was left out for 100 ms only. Its capacity was then again taken to be what the entry said.

Evidence: TestTargetWithoutRoomIsNotTriedAgain fails without the change (a second start within 2 s).

Why it works: under one capacity, a total that was rejected is rejected again. The total of the runs and the rejected task is not reached again until the entry shows another capacity or process, or is overdue by a heartbeat of the target and a read. Runs that the holder knows, but that have ended at the target, only make the recorded total larger.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -227,9 +227,8 @@
 		if t.fenced && !r.isUsable(t) || r.isCold(t) && r.isLateAt(j, t) {
 			continue
 		}
-		left := t.Capacity.Minus(t.used)
-		if spec.Need.CPU > 0 && left.Fits(spec.Need) {
-			free += left.CPU / spec.Need.CPU
+		if spec.Need.CPU > 0 && r.hasRoomFor(t, spec.Need) {
+			free += (t.Capacity.CPU - t.used.CPU) / spec.Need.CPU
 		}
 	}
 	return free, total
--- a/internal/router/capacity.go
+++ b/internal/router/capacity.go
@@ -1,5 +1,23 @@
 package router
 
+import "time"
+
+// targetHeartbeatInterval is the interval at which a target writes its entry. The platform
+// states it.
+const targetHeartbeatInterval = 1500 * time.Millisecond
+
+// hasRoomFor reports whether a task fits beside the runs of a target, as far as is known.
+func (r *Router) hasRoomFor(t *target, need Resources) bool {
+	total := t.used.plus(need)
+	return t.Capacity.Fits(total) && (r.now.After(t.rejectedUntil) || !total.Fits(t.rejectedTotal))
+}
+
+// recordLackOfRoom records that a target has rejected a task for lack of room. Its capacity has
+// shrunk, and its next entry will show by how much.
+func (r *Router) recordLackOfRoom(t *target, need Resources) {
+	t.rejectedTotal, t.rejectedUntil = t.used.plus(need), r.now.Add(targetHeartbeatInterval+r.Bounds.DirectoryInterval)
+}
+
 // serviceKind identifies the targets of one kind in a service. They have the same capacity
 // unless it has shrunk.
 type serviceKind struct{ service, kind string }
--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -53,3 +53,50 @@
 	assert.Equal(t, map[string]int{"work": 2}, b.router.headroom())
 	assert.Zero(t, b.router.currentUtilization())
 }
+
+// answeringBed is a holderBed whose targets answer renewals at the next tick.
+type answeringBed struct {
+	*holderBed
+	pending []Renew
+}
+
+// startsOf returns the starts among effects, and keeps the renewals.
+func (b *answeringBed) startsOf(effects []Effect) []Start {
+	b.pending = append(b.pending, effectsOf[Renew](effects)...)
+	return effectsOf[Start](effects)
+}
+
+// startsWithin advances the time and returns the starts.
+func (b *answeringBed) startsWithin(d time.Duration) []Start {
+	var starts []Start
+	for end := b.now.Add(d); b.now.Before(end); {
+		pending := b.pending
+		b.pending = nil
+		starts = append(starts, b.startsOf(b.advance(b.router.Bounds.TickInterval))...)
+		for _, renew := range pending {
+			starts = append(starts, b.startsOf(b.answerRenewal(renew))...)
+		}
+	}
+	return starts
+}
+
+// TestTargetWithoutRoomIsNotTriedAgain: a target that has rejected a task for lack of room must
+// not get another for the same room before its entry shows the capacity or is overdue.
+func TestTargetWithoutRoomIsNotTriedAgain(t *testing.T) {
+	for _, isShown := range []bool{false, true} {
+		b := &answeringBed{holderBed: newHolderBed(t, 1, ClaimWon)}
+		j := twoTaskJob("j")
+		j.Count, j.Stretch = 1, 100
+		starts := b.startsOf(b.step(Submit{Request: 1, Job: j, Budget: 20 * time.Second}))
+		require.Len(t, starts, 1)
+		rejection := StartAnswered{Target: "p", Task: starts[0].Task, Run: starts[0].Run, Result: NoCapacity}
+		require.Empty(t, b.startsOf(b.step(rejection)))
+		assert.Empty(t, b.startsWithin(2*time.Second))
+		if isShown {
+			assert.Empty(t, b.startsOf(b.resize(500)))
+			assert.Len(t, b.startsOf(b.resize(2000)), 1)
+		} else {
+			assert.Len(t, b.startsWithin(2*time.Second), 1)
+		}
+	}
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -223,6 +223,7 @@
 	case OrderExpired:
 		r.pollTarget(t)
 	case NoCapacity:
+		r.recordLackOfRoom(t, n.need)
 		t.ejectedUntil = later(t.ejectedUntil, r.now.Add(fullTargetDelay))
 		r.pollTarget(t)
 	case Unhealthy:
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -171,7 +171,7 @@
 	var best *target
 	bestScore := 0
 	for _, t := range r.sortedTargets {
-		if t.Service != j.spec.Service || !t.Capacity.Minus(t.used).Fits(j.spec.Need) || !t.hasLabel(j.spec.Label) {
+		if t.Service != j.spec.Service || !r.hasRoomFor(t, j.spec.Need) || !t.hasLabel(j.spec.Label) {
 			continue
 		}
 		if k.avoids(t.ID) || !r.isUsable(t) || r.isAtTaskLimit(j, t) || r.cells[t.Zone].wasAcquiredAfterOffer(j) {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -23,6 +23,10 @@
 	incarnation int64
 	runs        map[string]*run // by task
 	used        Resources
+	// rejectedTotal is what the runs would have used with the last task that the target rejected
+	// for lack of room. Until rejectedUntil, they are not brought to as much again.
+	rejectedTotal Resources
+	rejectedUntil time.Time
 	// orphanRunNumbers are the run numbers, by task name, of the orphans: runs in the target's
 	// run list that are not known here and that no task has adopted.
 	orphanRunNumbers map[string]int
@@ -173,6 +177,9 @@
 	if isNew || entry.ColdLeft == 0 || t.ColdLeft == 0 {
 		t.coldUntil = r.now.Add(entry.ColdLeft)
 	}
+	if entry.Capacity != t.Capacity || restarted {
+		t.rejectedUntil = time.Time{}
+	}
 	t.Target, t.listed, t.evacuated = entry, true, r.isEvacuated(entry.Zone)
 	if restarted {
 		r.pollTarget(t)
