internal/modeler: tasks that crash the targets that start them

Jobs with a task that crashes each target that starts it are played with DeadlyShare: the target ends some milliseconds after the start and is back, empty, after 3 s with a new start time. Clients with Patience resend jobs that have expired, as callers do after 504.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -56,6 +56,7 @@
 	wasRefused          bool
 	retriedAfterRefusal bool
 	mayHaveRun          bool // set by scheduleResend
+	deadly              bool // its first task crashes targets
 }
 
 const (
@@ -117,6 +118,7 @@
 		ExpectedRunTime: time.Duration(taskSeconds * math.Exp(k.EstimateError*normalRandom()) * float64(time.Second)),
 		MaxAttempts:     max(k.MaxAttempts, 1), Stretch: k.Stretch, Allowance: k.Allowance,
 	}
+	c.deadly = sm.crashRandom.Float64() < sm.DeadlyShare
 	sm.clients[c.id] = c
 	sm.Results.recordSubmitted(c)
 	c.send()
@@ -162,7 +164,7 @@
 	c.host = h
 	c.requestID = uint64(sim.lastIDNumber)<<8 | uint64(c.attempts)
 	sim.lastIDNumber++
-	remaining := c.timeout - sim.now.Sub(c.sentAt)
+	remaining := min(c.timeout, c.timeLeft())
 	requestID, sentAt := c.requestID, sim.now
 	h.schedule(clientDelay, func() { h.step(router.Submit{Request: requestID, Job: c.job, Budget: remaining}) })
 	sim.schedule(remaining+time.Second, func() {
@@ -177,12 +179,12 @@
 const clientDelay = time.Millisecond
 
 // scheduleResend schedules a resend of a job whose outcome is unknown or for which no host
-// was available. The client resends after resendDelay, or gives up if its timeout is over by
-// then. From now on the job counts as one that may have run, also if no host was available.
+// was available. The client resends after resendDelay, or gives up if its timeout and its patience
+// are over by then. From now on the job counts as one that may have run, also if no host was available.
 func (c *client) scheduleResend() {
 	c.mayHaveRun = true
 	c.host = nil
-	if c.sim.now.Sub(c.sentAt)+resendDelay > c.timeout {
+	if resendDelay > c.timeLeft() {
 		c.ended = true
 		return
 	}
@@ -193,6 +195,11 @@
 	})
 }
 
+// timeLeft returns how much longer the client goes on to submit the job.
+func (c *client) timeLeft() time.Duration {
+	return c.timeout + c.sim.Patience - c.sim.now.Sub(c.sentAt)
+}
+
 // retryAfterRefusal schedules the retry of a refused job after the delay in the answer.
 func (c *client) retryAfterRefusal(delay time.Duration) {
 	c.retriedAfterRefusal, c.host = true, nil
@@ -247,8 +254,12 @@
 		c.ended, c.wasRefused = true, true
 		sm.Results.recordRefused(c, e.Verdict.Reason)
 	case router.Failed:
-		c.ended = true
 		sm.Results.recordFailed(c, e.Verdict.Reason)
+		if e.Verdict.Reason == router.Expired && sm.Patience > 0 {
+			c.scheduleResend()
+			return
+		}
+		c.ended = true
 	default:
 		sm.Results.recordUnknown(c, e.Verdict.Reason)
 		c.scheduleResend()
--- a/internal/modeler/tally.go
+++ b/internal/modeler/tally.go
@@ -11,6 +11,8 @@
 // Results counts the answers that clients received and their benefit.
 type Results struct {
 	Starts int
+	// Crashes counts the crashes of targets under deadly tasks.
+	Crashes int
 	// EvacuatedStarts are the times from the evacuation of a zone to the starts there during it.
 	EvacuatedStarts []time.Duration
 	// ExcessStarts are the times from the change of a target's entry to the orders that exceed the
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -174,6 +174,9 @@
 		r := &run{taskID: e.Task, number: e.Run, need: need, startedAt: sim.now, duration: sim.runTimeOf(e.Task, t)}
 		t.runs[e.Task] = r
 		t.used = addResources(t.used, need)
+		if sim.isDeadly(e.Task) {
+			sim.scheduleCrash(t, r)
+		}
 		t.scheduleEnd(r)
 		return router.Running
 	}
@@ -379,6 +382,7 @@
 		sm.recordViolation("two runs of %s: at %s, and run %d at %s by %s", e.Task, at, e.Run, t.entry.ID, h.name)
 	}
 	sm.checkEvacuation(t, h, e.Task)
+	sm.checkCrashes(t, h, e.Task)
 	sm.runningTasks[e.Task] = fmt.Sprintf("%s run %d by %s at %.3f", t.entry.ID, e.Run, h.name, sm.now.Sub(sm.loadStart).Seconds())
 	sm.startCounts[jobID(e.Task)]++
 	sm.Results.Starts++
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -56,6 +56,11 @@
 	LostAnswerShare float64
 	// UnguardedTargets makes targets start tasks for which they have no room.
 	UnguardedTargets bool
+	// DeadlyShare is the share of jobs whose first task crashes each target that starts it.
+	DeadlyShare float64
+	// Patience is how long after its timeout a client goes on to resend a job whose outcome is
+	// unknown or that has expired.
+	Patience time.Duration
 
 	// Trace is called for each decision with the time since the start of the load and
 	// the host's name. It may be nil.
@@ -68,6 +73,7 @@
 	random         *rand.Rand
 	jobRandom      *rand.Rand // for the jobs of clients, so that they are the same under any policy
 	networkRandom  *rand.Rand // for delays, so that the number of messages affects no other random value
+	crashRandom    *rand.Rand // for deadly tasks, so that all other jobs are the same without them
 	hosts          []*host
 	hostsByAddress map[string]*host
 	targets        map[string]*target
@@ -81,6 +87,7 @@
 	startCounts    map[string]int             // started runs by job ID
 	finishedTasks  map[string]map[string]bool // by job ID and index of the task
 	clients        map[string]*client         // by job ID
+	crashes        map[string]*taskCrashes    // by ID of a deadly task
 	lastIDNumber   int                        // for job IDs and request IDs
 	// Violations lists the violations of invariants, at most 20.
 	Violations []string
@@ -139,6 +146,7 @@
 	sm.random = rand.New(rand.NewPCG(sm.Seed, 1))
 	sm.jobRandom = rand.New(rand.NewPCG(sm.Seed, 2))
 	sm.networkRandom = rand.New(rand.NewPCG(sm.Seed, 3))
+	sm.crashRandom = rand.New(rand.NewPCG(sm.Seed, 4))
 	sm.hostsByAddress = make(map[string]*host)
 	sm.targets = make(map[string]*target)
 	sm.disturbedUntil = make(map[string]time.Time)
@@ -148,6 +156,7 @@
 	sm.startCounts = make(map[string]int)
 	sm.finishedTasks = make(map[string]map[string]bool)
 	sm.clients = make(map[string]*client)
+	sm.crashes = make(map[string]*taskCrashes)
 	sm.store = newStore(sm)
 	sm.createDeployment()
 	sm.scheduleArrivals()
