internal/router: a task is given up after two targets have crashed under it

Callers whose job had a task that crashes its target were told 504 and sent the job again; after the retained verdict had expired, or once the holder had changed, the task started again and crashed the next target. Nothing recorded why runs were lost: a lapsed lease counts neither against the task nor against the target.

A ledger now records, per task, each process of a target that was lost under it. The crash is confirmed once a later process of the target is seen (run list, directory, rejected order) and cleared if the same process answers again. Two confirmed crashes fail the job (reason crashes, answered with 200 and failed); with two that are not confirmed yet, the task waits. The ledger outlives the verdicts by a minute. Holders report crashes to the job's host with the done tasks and to successors with the learned state, and offers carry them to the next holder; all three fields are optional on the wire. A task under which a target was lost is placed apart from other tasks while a target is free, so that a second crash does not hit bystanders.

The lease is untouched: a run at a silent target still blocks the next start until it has lapsed.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -55,8 +55,9 @@
 	ended               bool
 	wasRefused          bool
 	retriedAfterRefusal bool
-	mayHaveRun          bool // set by scheduleResend
-	deadly              bool // its first task crashes targets
+	mayHaveRun          bool          // set by scheduleResend
+	deadly              bool          // its first task crashes targets
+	failedFor           router.Reason // why the last answer was a failure
 }
 
 const (
@@ -254,18 +255,25 @@
 		c.ended, c.wasRefused = true, true
 		sm.Results.recordRefused(c, e.Verdict.Reason)
 	case router.Failed:
-		sm.Results.recordFailed(c, e.Verdict.Reason)
-		if e.Verdict.Reason == router.Expired && sm.Patience > 0 {
-			c.scheduleResend()
-			return
-		}
-		c.ended = true
+		c.handleFailure(e.Verdict.Reason)
 	default:
 		sm.Results.recordUnknown(c, e.Verdict.Reason)
 		c.scheduleResend()
 	}
 }
 
+// handleFailure handles the answer that the job has failed. A patient client resends a job that
+// has expired.
+func (c *client) handleFailure(reason router.Reason) {
+	c.failedFor = reason
+	c.sim.Results.recordFailed(c, reason)
+	if reason == router.Expired && c.sim.Patience > 0 {
+		c.scheduleResend()
+		return
+	}
+	c.ended = true
+}
+
 func (sm *Simulation) recordFinishedTask(taskID string) {
 	id, index := jobID(taskID), taskID[strings.LastIndexByte(taskID, '.')+1:]
 	if sm.finishedTasks[id] == nil {
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -31,6 +31,8 @@
 		return m.Offer.check()
 	case m.Heartbeat != nil:
 		return m.Heartbeat.check()
+	case m.Progress != nil:
+		return checkCrashes(m.Progress.Crashes)
 	}
 	return nil
 }
@@ -49,7 +51,7 @@
 	case o.RunBase < 0:
 		return &MalformedError{"the run number base", fmt.Sprint(o.RunBase)}
 	}
-	return nil
+	return checkCrashes(o.Crashes)
 }
 
 func (h *Heartbeat) check() error {
@@ -61,9 +63,22 @@
 			return &MalformedError{"the token of a claim", fmt.Sprint(c.Token)}
 		}
 	}
+	if err := checkCrashes(h.Crashes); err != nil {
+		return err
+	}
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
+// checkCrashes checks crashes that were received from another host.
+func checkCrashes(crashes []Crash) error {
+	for _, c := range crashes {
+		if c.Job == "" || c.Task < 0 || c.Task >= MaxTasks || c.Target == "" || c.StartedAt <= 0 {
+			return &MalformedError{"a crash", fmt.Sprint(c)}
+		}
+	}
+	return nil
+}
+
 // checkLearnedState checks learned state that was received from another host.
 func checkLearnedState(routes []RouteStats, speeds []KindSpeed) error {
 	for _, stats := range routes {
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -177,6 +177,7 @@
 	r.dropUnlistedStandby()
 	for _, entry := range d.Targets {
 		r.cell(entry.Zone)
+		r.updateCrashes(entry.ID, entry.StartedAt, false)
 	}
 	r.syncTargets()
 	for _, p := range r.sortedPeers() {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -124,6 +124,7 @@
 	if p != nil {
 		origin = p.member
 	}
+	r.mergeCrashes(o.Crashes)
 	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
 	stale := p != nil && !r.isReachable(p) // the offer may have been in transit since the connection was cut
 	if c == nil || !c.heldHere || stale || !c.isOfferCurrent(o) {
@@ -263,9 +264,11 @@
 	}
 	j.doneCount++
 	j.mayHaveStarted = true
+	r.crashes.remove(taskKey{j.spec.ID, index})
 	r.endOrEnqueueJob(j)
 	if !j.ended { // otherwise the verdict reports it
-		r.unreportedTasks[j.origin] = append(r.unreportedTasks[j.origin], DoneTask{ID: j.spec.ID, Task: index})
+		progress := r.progressFor(j.origin)
+		progress.Tasks = append(progress.Tasks, DoneTask{ID: j.spec.ID, Task: index})
 	}
 }
 
@@ -294,6 +297,10 @@
 			return
 		}
 	}
+	if r.hasCrashingTask(j) {
+		r.endJob(j, Verdict{Outcome: Failed, Reason: Crashes})
+		return
+	}
 	if j.waitingCount > 0 && !r.queue.Has(j) && r.jobs[j.spec.ID] == j {
 		r.queue.Push(j)
 	}
@@ -440,16 +447,3 @@
 		r.endJob(j, Verdict{Outcome: Failed, Reason: Expired})
 	}
 }
-
-// sendProgress reports finished tasks to the hosts of the jobs' clients.
-func (r *Router) sendProgress() {
-	for _, address := range sortedKeys(r.unreportedTasks) {
-		doneTasks := r.unreportedTasks[address]
-		if address == r.Self.Address {
-			r.handleProgress(&Progress{Tasks: doneTasks})
-		} else if p := r.peers[address]; p != nil {
-			r.send(p, Message{Progress: &Progress{Tasks: doneTasks}})
-		}
-	}
-	clear(r.unreportedTasks)
-}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -14,6 +14,7 @@
 	}
 	if e.StartedAt > 0 {
 		t.incarnation = e.StartedAt
+		r.updateCrashes(t.ID, e.StartedAt, true)
 	}
 	t.lastConfirmedAt = later(t.lastConfirmedAt, e.SentAt)
 	if t.missedRenewals > 0 {
@@ -77,6 +78,9 @@
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
 		if _, isListed := listed[name]; !isListed && !n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) {
+			if n.process < t.incarnation {
+				r.recordLostRun(n, false)
+			}
 			r.endRun(n, EndLeaseExpired)
 		}
 	}
@@ -114,7 +118,7 @@
 		return false
 	}
 	k := &j.tasks[index]
-	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true}
+	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	r.transitionTask(j, index, taskStart)
 	k.run, k.lastRun, j.mayHaveStarted = n, max(k.lastRun, entry.Run), true
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -95,6 +95,9 @@
 	// TargetCount is the number of targets in that version of the directory, in all
 	// zones.
 	TargetCount int `cbor:"14,keyasint,omitempty"`
+	// Crashes are the recent crashes of targets that a holder knows. They are sent together with
+	// the learned state; hosts of earlier versions neither send nor read them.
+	Crashes []Crash `cbor:"17,keyasint,omitempty"`
 	// Routes and Speeds are a holder's learned state. Most heartbeats leave them out.
 	Routes []RouteStats `cbor:"10,keyasint,omitempty"`
 	Speeds []KindSpeed  `cbor:"11,keyasint,omitempty"`
@@ -160,6 +163,8 @@
 	Zone string `cbor:"9,keyasint,omitempty"`
 	// Token is the token of the claim under which the job is offered.
 	Token uint64 `cbor:"10,keyasint,omitempty"`
+	// Crashes are the crashes of targets under tasks of the job.
+	Crashes []Crash `cbor:"11,keyasint,omitempty"`
 }
 
 // Withdraw tells a holder that no client waits for a job any more.
@@ -208,6 +213,9 @@
 	// NoHolder means that no reachable host holds the zone's cell, or that the holder
 	// lost contact with the job's host.
 	NoHolder Reason = "unheld"
+	// Crashes means that targets have crashed under one of the job's tasks, so that it is not
+	// started again.
+	Crashes Reason = "crashes"
 	// Stopping means that the host shut down before the job ended.
 	Stopping Reason = "stopping"
 	// Withdrawn means that the client cancelled the job or disconnected.
@@ -229,10 +237,11 @@
 	Elsewhere string `cbor:"7,keyasint,omitempty"`
 }
 
-// Progress reports done tasks to the job's host, so that another holder need not run
-// them again.
+// Progress reports done tasks and crashes of targets to the job's host, so that another holder
+// need not run the tasks again and knows of the crashes.
 type Progress struct {
-	Tasks []DoneTask `cbor:"1,keyasint"`
+	Tasks   []DoneTask `cbor:"1,keyasint"`
+	Crashes []Crash    `cbor:"2,keyasint,omitempty"`
 }
 
 // DoneTask identifies a task that is done.
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -168,6 +168,7 @@
 	if r.holdsAnyCell() && r.now.Sub(r.learnedStateSentAt) >= learnedStateInterval {
 		r.learnedStateSentAt = r.now
 		heartbeat.Routes, heartbeat.Speeds = r.exportLearnedState()
+		heartbeat.Crashes = r.crashes.recentCrashes(r.now.Add(-crashExportPeriod))
 	}
 	claims := r.knownClaims()
 	for _, p := range r.sortedPeers() {
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -126,7 +126,7 @@
 	return &Offer{
 		Job: q.job, TimeLeft: q.deadline.Sub(r.now), Elapsed: r.now.Sub(q.arrivedAt),
 		Reoffered: len(q.previousZones) > 0, PreviousZones: q.previousZones, Done: q.doneTasks, RunBase: q.runBase, SubmissionID: q.arrivedAt.UnixNano(),
-		Zone: q.zone, Token: q.token,
+		Zone: q.zone, Token: q.token, Crashes: r.crashes.crashesOfJob(q.job.ID, q.job.Count),
 	}
 }
 
@@ -316,18 +316,6 @@
 	}
 }
 
-// handleProgress records finished tasks of this host's requests.
-func (r *Router) handleProgress(progress *Progress) {
-	for _, m := range progress.Tasks {
-		if q := r.requestsByJob[m.ID]; q != nil {
-			q.hasDoneTask = true
-			if !slices.Contains(q.doneTasks, m.Task) {
-				q.doneTasks = append(q.doneTasks, m.Task)
-			}
-		}
-	}
-}
-
 // handleClientGone removes the client request of a client that has disconnected, and withdraws
 // the job if no other client request waits for it.
 func (r *Router) handleClientGone(e ClientGone) {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -87,10 +87,10 @@
 	}
 	for i := range j.tasks {
 		k := &j.tasks[i]
-		if k.state != taskWaiting || r.now.Before(k.notBefore) || k.previousRun.isLive() {
+		if k.state != taskWaiting || r.now.Before(k.notBefore) || k.previousRun.isLive() || r.isHeldForCrashes(j, i) {
 			continue
 		}
-		t := r.chooseTarget(j, k)
+		t := r.chooseTarget(j, i)
 		if t == nil {
 			return len(k.avoidedTargets) > 0 || r.hasExcludedCells(j)
 		}
@@ -167,7 +167,8 @@
 // wins: the CPU that the target has left beside the task, plus the penalty. Apart from the
 // penalties, this is the target with the least CPU left (best fit), so that other targets keep
 // room for large tasks.
-func (r *Router) chooseTarget(j *job, k *task) *target {
+func (r *Router) chooseTarget(j *job, index int) *target {
+	k, crashes := &j.tasks[index], r.crashes.crashesOf(j.spec.ID, index)
 	var best *target
 	bestScore := 0
 	for _, t := range r.sortedTargets {
@@ -178,7 +179,7 @@
 			continue
 		}
 		left := t.Capacity.Minus(t.used)
-		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t)
+		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.crashPenalty(crashes, t)
 		if best == nil || score < bestScore || score == bestScore && t.ID < best.ID {
 			best, bestScore = t, score
 		}
@@ -293,7 +294,7 @@
 		r.reportViolation("one run a task", "task %s still has another run at target %s", name, t.ID)
 	}
 	k.lastRun++
-	n := &run{job: j, task: index, number: k.lastRun, target: t, need: j.spec.Need, state: runStarting, sentAt: r.now, expectedRunTime: r.expectedRunTimeAt(j, t), cold: r.isCold(t)}
+	n := &run{job: j, task: index, number: k.lastRun, target: t, need: j.spec.Need, state: runStarting, sentAt: r.now, expectedRunTime: r.expectedRunTimeAt(j, t), cold: r.isCold(t), process: max(t.incarnation, t.StartedAt), suspect: len(r.crashes.crashesOf(j.spec.ID, index)) > 0}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	k.run = n
 	t.runs[name] = n
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -44,12 +44,14 @@
 	OverloadSpill Mechanism = "spill"
 	// StandbyConnections keeps connections to the targets open at the holder's successors.
 	StandbyConnections Mechanism = "standby"
+	// CrashIsolation places a task under which a target has crashed apart from other tasks.
+	CrashIsolation Mechanism = "isolation"
 )
 
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -72,7 +72,8 @@
 	targets             map[string]*target
 	sortedTargets       []*target             // sorted by ID
 	endedJobs           []*job                // by retainedUntil, earliest first
-	unreportedTasks     map[string][]DoneTask // completed tasks that are not reported yet, by address of the job's host
+	unreported          map[string]*Progress  // progress that is not reported yet, by address of the job's host
+	crashes             crashLedger           // targets that crashed under tasks
 	routeModels         map[string]*history   // by route
 	kindSpeeds          map[string]*KindSpeed // by kind of target
 	meanWorkByRoute     map[string]float64    // mean work of a job, by route
@@ -117,7 +118,7 @@
 	r.requestsByJob = make(map[string]*request)
 	r.jobs = make(map[string]*job)
 	r.targets = make(map[string]*target)
-	r.unreportedTasks = make(map[string][]DoneTask)
+	r.unreported = make(map[string]*Progress)
 	r.routeModels = make(map[string]*history)
 	r.lostJobsDropAt = make(map[string]time.Time)
 	r.previousTargets = make(map[string]*previousTarget)
@@ -213,6 +214,7 @@
 	r.checkJobs()
 	r.checkRequests()
 	r.sendProgress()
+	r.crashes.prune(r.now)
 	r.saveLearnedState()
 	r.finishShutdown()
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -87,6 +87,10 @@
 	slowdownRecorded, slow bool
 	// cold is set if the run started while the target was cold.
 	cold bool
+	// process is the start time of the target's process when the run started; 0 if unknown.
+	process int64
+	// suspect is set if a target had crashed under the task before this run.
+	suspect bool
 }
 
 type runState string
@@ -375,6 +379,7 @@
 func (r *Router) handleReplacedTarget(t *target) {
 	r.logTarget(t, "replaced")
 	for _, name := range sortedKeys(t.runs) {
+		r.recordLostRun(t.runs[name], true)
 		r.endRun(t.runs[name], EndLeaseExpired)
 	}
 	t.fenced, t.missedRenewals = false, t.missedRenewals+1
@@ -411,6 +416,7 @@
 	r.logTarget(t, "lapsed")
 	t.fenced = false
 	for _, name := range sortedKeys(t.runs) {
+		r.recordLostRun(t.runs[name], false)
 		r.endRun(t.runs[name], EndLeaseExpired)
 	}
 	r.emit(CloseIdle{ID: t.ID})
