--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -71,6 +71,13 @@
 	case "exhausted":
 		s.Cause = "a task failed as often as its route allows"
 		s.addEndEvidence("failed")
+	case "crashes":
+		s.Cause = "targets crashed under one of its tasks, so it was given up"
+		for _, l := range s.Lines {
+			if l.Action == "crash" {
+				s.Evidence = append(s.Evidence, l.String())
+			}
+		}
 	case "misfit":
 		s.Cause = "a task needs more than any target of the service has"
 	default:
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -57,6 +57,19 @@
 	assert.Contains(t, story.Cause, "more than any target")
 }
 
+// TestCauseNamesCrashes checks that the cause of a failure names the targets that crashed.
+func TestCauseNamesCrashes(t *testing.T) {
+	r := &Reader{}
+	require.NoError(t, r.Read(strings.NewReader(`{"time":"2026-01-01T00:00:00Z","msg":"crash","host":"a","job":"j","task":"j.0.0.0","target":"t-7","born":5,"crashes":2}
+{"time":"2026-01-01T00:00:00.1Z","msg":"answer","host":"a","job":"j","outcome":"failed","reason":"crashes"}
+`)))
+	story, found := r.Explain("j")
+	require.True(t, found)
+	assert.Contains(t, story.Cause, "crashed")
+	require.Len(t, story.Evidence, 1)
+	assert.Contains(t, story.Evidence[0], "t-7")
+}
+
 // TestCauseNamesEvacuation checks that the cause of a refusal names an evacuation, with the line
 // that tells of it.
 func TestCauseNamesEvacuation(t *testing.T) {
