internal/router: the crash ledger is looked up by job and by target

A job of many tasks would have looked up each of them at each end of a run while the ledger had an entry, and each change of the directory sorted the whole ledger for each crashed target. The ledger counts its entries by job, and only entries that mention the target are sorted.

--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -48,9 +48,10 @@
 // submission. The zero value is empty.
 type crashLedger struct {
 	entries map[taskKey]*crashEntry
-	// unconfirmed counts the crashes that are not confirmed, by target.
-	unconfirmed map[string]int
-	prunedAt    time.Time
+	// unconfirmed counts the crashes that are not confirmed, by target, and jobEntries the entries
+	// of each job.
+	unconfirmed, jobEntries map[string]int
+	prunedAt                time.Time
 }
 
 // crashEntry lists the crashes under one task, one for each process of a target.
@@ -62,7 +63,7 @@
 // add adds a crash or confirms a known one. It reports whether the ledger has changed.
 func (l *crashLedger) add(c Crash, now time.Time) bool {
 	if l.entries == nil {
-		l.entries, l.unconfirmed = make(map[taskKey]*crashEntry), make(map[string]int)
+		l.entries, l.unconfirmed, l.jobEntries = make(map[taskKey]*crashEntry), make(map[string]int), make(map[string]int)
 	}
 	key := taskKey{c.Job, c.Task}
 	e := l.entries[key]
@@ -72,6 +73,7 @@
 		}
 		e = &crashEntry{}
 		l.entries[key] = e
+		l.jobEntries[c.Job]++
 	}
 	i := slices.IndexFunc(e.crashes, func(known Crash) bool { return known.Target == c.Target && known.StartedAt == c.StartedAt })
 	switch {
@@ -82,7 +84,7 @@
 		}
 	case c.Confirmed && !e.crashes[i].Confirmed:
 		e.crashes[i].Confirmed = true
-		l.decrementUnconfirmed(c.Target)
+		decrement(l.unconfirmed, c.Target)
 	default:
 		return false
 	}
@@ -90,10 +92,11 @@
 	return true
 }
 
-func (l *crashLedger) decrementUnconfirmed(target string) {
-	l.unconfirmed[target]--
-	if l.unconfirmed[target] == 0 {
-		delete(l.unconfirmed, target)
+// decrement decrements a count and deletes it at zero.
+func decrement(counts map[string]int, key string) {
+	counts[key]--
+	if counts[key] == 0 {
+		delete(counts, key)
 	}
 }
 
@@ -105,10 +108,11 @@
 	}
 	for _, c := range e.crashes {
 		if !c.Confirmed {
-			l.decrementUnconfirmed(c.Target)
+			decrement(l.unconfirmed, c.Target)
 		}
 	}
 	delete(l.entries, key)
+	decrement(l.jobEntries, key.job)
 }
 
 // clear removes a crash that was none.
@@ -117,9 +121,9 @@
 	e := l.entries[key]
 	e.crashes = slices.DeleteFunc(e.crashes, func(known Crash) bool { return known == c })
 	e.changedAt = now
-	l.decrementUnconfirmed(c.Target)
+	decrement(l.unconfirmed, c.Target)
 	if len(e.crashes) == 0 {
-		delete(l.entries, key)
+		l.remove(key)
 	}
 }
 
@@ -155,11 +159,13 @@
 	}
 }
 
-// sortedKeys returns the keys of the entries, in order.
-func (l *crashLedger) sortedKeys() []taskKey {
-	keys := make([]taskKey, 0, len(l.entries))
-	for key := range l.entries {
-		keys = append(keys, key)
+// keysOf returns the keys of the entries that satisfy a condition, in order.
+func (l *crashLedger) keysOf(isWanted func(*crashEntry) bool) []taskKey {
+	var keys []taskKey
+	for key, e := range l.entries {
+		if isWanted(e) {
+			keys = append(keys, key)
+		}
 	}
 	slices.SortFunc(keys, compareTaskKeys)
 	return keys
@@ -176,7 +182,7 @@
 // crashesOfJob returns the crashes under the tasks of a job.
 func (l *crashLedger) crashesOfJob(job string, count int) []Crash {
 	var list []Crash
-	if len(l.entries) == 0 {
+	if l.jobEntries[job] == 0 {
 		return nil
 	}
 	for i := range count {
@@ -188,10 +194,8 @@
 // recentCrashes returns the crashes of the entries that have changed since a time.
 func (l *crashLedger) recentCrashes(since time.Time) []Crash {
 	var list []Crash
-	for _, key := range l.sortedKeys() {
-		if e := l.entries[key]; e.changedAt.After(since) {
-			list = append(list, e.crashes...)
-		}
+	for _, key := range l.keysOf(func(e *crashEntry) bool { return e.changedAt.After(since) }) {
+		list = append(list, l.entries[key].crashes...)
 	}
 	return list[:min(len(list), maxSentCrashes)]
 }
@@ -249,20 +253,13 @@
 	if r.crashes.unconfirmed[target] == 0 {
 		return
 	}
-	for _, key := range r.crashes.sortedKeys() {
-		for _, c := range slices.Clone(r.crashes.entries[key].crashes) {
-			if c.Target != target || c.Confirmed {
-				continue
-			}
+	isUnconfirmed := func(c Crash) bool { return c.Target == target && !c.Confirmed }
+	for _, key := range r.crashes.keysOf(func(e *crashEntry) bool { return slices.ContainsFunc(e.crashes, isUnconfirmed) }) {
+		for _, c := range slices.Clone(r.crashes.crashesOf(key.job, key.task)) {
 			switch {
+			case !isUnconfirmed(c):
 			case c.StartedAt < startedAt:
-				c.Confirmed = true
-				origin := ""
-				if j := r.jobs[c.Job]; j != nil {
-					origin = j.origin
-				}
-				r.addCrash(c, origin)
-				r.endJobOfCrashes(c.Job)
+				r.confirmCrash(c)
 			case c.StartedAt == startedAt && answered:
 				r.crashes.clear(c, r.now)
 				r.logCrash("acquit", c)
@@ -272,6 +269,17 @@
 	}
 }
 
+// confirmCrash confirms a crash, and tells the host of the job's client if that is known.
+func (r *Router) confirmCrash(c Crash) {
+	c.Confirmed = true
+	origin := ""
+	if j := r.jobs[c.Job]; j != nil {
+		origin = j.origin
+	}
+	r.addCrash(c, origin)
+	r.endJobOfCrashes(c.Job)
+}
+
 // endJobOfCrashes gives a job up if targets have crashed under one of its tasks too often.
 func (r *Router) endJobOfCrashes(id string) {
 	if j := r.jobs[id]; j != nil && !j.ended && r.hasCrashingTask(j) {
@@ -281,7 +289,7 @@
 
 // hasCrashingTask reports whether maxCrashes crashes under one task of a job are confirmed.
 func (r *Router) hasCrashingTask(j *job) bool {
-	if len(r.crashes.entries) == 0 {
+	if r.crashes.jobEntries[j.spec.ID] == 0 {
 		return false
 	}
 	for i := range j.tasks {
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -408,9 +408,11 @@
 	assert.Equal(t, maxCrashEntries, l.unconfirmed["p"])
 	assert.Empty(t, l.crashesOf("j", 4))
 	assert.Len(t, l.crashesOf("j", 5), 1)
+	assert.Equal(t, maxCrashEntries, l.jobEntries["j"])
 	l.prune(now.Add(crashRetention + time.Hour))
 	assert.Empty(t, l.entries)
 	assert.Empty(t, l.unconfirmed)
+	assert.Empty(t, l.jobEntries)
 }
 
 // TestMessagesWithCrashesAreReadByEarlierVersions: hosts of earlier versions, which lack the
