--- a/internal/modeler/disruption_test.go
+++ b/internal/modeler/disruption_test.go
@@ -109,3 +109,17 @@
 	}
 	group.Wait()
 }
+
+// TestConnectionRegressionSeeds repeats the simulations of TestInvariantsHoldUnderConnectionFaults
+// that once violated an invariant.
+func TestConnectionRegressionSeeds(t *testing.T) {
+	for seed, cause := range map[uint64]string{
+		1023: "a restarted holder refused a job of another zone that its previous process had started",
+		1282: "a restarted holder refused a job that its previous process had started, and a third zone started it again",
+		1689: "a restarted holder in an evacuated zone refused a job that its previous process had started",
+	} {
+		sim := randomConnectionSimulation(seed)
+		sim.Run()
+		assert.Empty(t, sim.Violations, "seed %d: %s", seed, cause)
+	}
+}
