internal/router: a copy of an offer from a replaced connection starts nothing

Callers may see a job start that was refused as not run: a copy of its offer was under way on a connection that was replaced, the holder refused the job on the new one, and the copy arrived after the holder had forgotten the refusal.

An offer now counts as overtaken if its host has sent a heartbeat that arrived later than the offer was sent, both on that host's clock. Messages on one connection keep their order, so this happens only to offers on a replaced one, and the host repeats these on the new connection as long as it waits for the job. An overtaken offer of a job that is not known is dropped without a verdict. Offers say when they were sent already: it is the time of the submission and the elapsed time.

Evidence: TestCopyOfForgottenOfferDoesNotStart started two tasks before.

--- a/internal/router/copy_test.go
+++ b/internal/router/copy_test.go
@@ -91,3 +91,24 @@
 	assert.Empty(t, answers(b.receiveVerdict(Verdict{ID: "j", Outcome: Refused, Reason: Overload, SubmissionID: submissionID - 1})))
 	assert.Len(t, answers(b.receiveVerdict(Verdict{ID: "j", Outcome: Refused, Reason: Overload, SubmissionID: submissionID})), 1)
 }
+
+// TestCopyOfForgottenOfferDoesNotStart guards against a start of a job whose client was told that
+// it is refused, when a copy of its offer arrives over a replaced connection after the holder has
+// forgotten the job.
+func TestCopyOfForgottenOfferDoesNotStart(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	b := newHolderBed(t, 2, ClaimWon)
+	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: b.now.UnixNano(), Elapsed: 10 * time.Millisecond, Token: b.router.cells["north"].claim.Token}
+	heartbeat := &Heartbeat{Member: Member{Name: "n", Zone: "north", Address: origin, Incarnation: 5, Slot: 9}, Echo: b.now.UnixNano()}
+	heartbeat.Sent = offer.sentAt()
+	b.step(Receive{From: origin, Message: Message{Heartbeat: heartbeat}})
+	sentLater := *heartbeat
+	sentLater.Sent++
+	late := offer
+	late.Job.ID = "k"
+	assert.Len(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: &offer}})), 2)
+	b.step(Receive{From: origin, Message: Message{Heartbeat: &sentLater}})
+	effects := b.step(Receive{From: origin, Message: Message{Offer: &late}})
+	assert.Empty(t, effectsOf[Start](effects))
+	assert.Empty(t, effectsOf[Send](effects))
+}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -147,6 +147,16 @@
 		r.handleRepeatedOffer(previous, origin.Address, o)
 		return
 	}
+	if p != nil && p.hasOvertaken(o) {
+		r.emit(Decision{Action: "overtaken", Job: o.Job.ID, Routine: true, Pairs: []any{"origin", origin.Address, "offered", o.Token}})
+		return
+	}
+	r.admitOffer(origin, o, previous)
+}
+
+// admitOffer accepts or refuses a job that is not open here. previous is an ended job with its ID,
+// or nil.
+func (r *Router) admitOffer(origin Member, o *Offer, previous *job) {
 	j := r.newJob(origin, o)
 	j.inheritRuns(previous)
 	j.likelyRetry = r.isLikelyRetry(j)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -167,6 +167,9 @@
 	Crashes []Crash `cbor:"11,keyasint,omitempty"`
 }
 
+// sentAt returns when the offer was sent, on its host's clock in Unix nanoseconds.
+func (o *Offer) sentAt() int64 { return o.SubmissionID + o.Elapsed.Nanoseconds() }
+
 // Withdraw tells a holder that no client waits for a job any more.
 type Withdraw struct {
 	ID string `cbor:"1,keyasint"`
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -62,6 +62,13 @@
 	return !p.lastEchoedAt.IsZero() && r.now.Sub(p.lastEchoedAt) <= r.peerTimeout(p)
 }
 
+// hasOvertaken reports whether a heartbeat has arrived that the peer has sent after an offer. Then
+// the offer has arrived over a connection that was replaced, and the peer repeats it over the new
+// one unless it has answered the client since.
+func (p *peer) hasOvertaken(o *Offer) bool {
+	return o.SubmissionID != 0 && o.sentAt() < p.lastPeerTimestamp
+}
+
 // mayRunJobsOf reports whether the jobs of the peer's clients may continue to run here.
 func (r *Router) mayRunJobsOf(p *peer) bool {
 	return !p.lastEchoedAt.IsZero() && r.now.Sub(p.lastEchoedAt) <= r.Bounds.OriginTimeout
