internal/router: a job waits for runs in zones that its holder has lost

Two runs of a task could be under way at once where each zone has a holder of its own: a holder that held two zones started a task in one zone of a job of the other, lost the first zone and then the second. The job's host listed the zones that the holder still held when it offered the job again. The next holder did not wait for the zone that was lost first, where the run went on until the holder of that zone stopped it.

A host now notes, for its open requests, the zones that the holder loses, and lists them with the others.

--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -70,6 +70,7 @@
 		return
 	}
 	r.emit(Decision{Action: "holder", Pairs: []any{"zone", c.zone, "holder", claim.Holder.Name, "token", claim.Token, "before", c.claim.Holder.Name}})
+	r.recordLostZone(c)
 	c.claim, c.fenced, c.claimBackoff, c.claimReceivedAt = claim, false, 0, r.now
 	r.lastSharedChangeAt = r.now
 	c.holderlessSince, c.mergeWantedSince = time.Time{}, time.Time{}
@@ -143,6 +144,7 @@
 		delete(r.lostJobsDropAt, c.zone)
 		r.dropJobsOfZone(c.zone)
 	}
+	r.recordLostZone(c)
 	c.claim = Claim{Zone: c.zone, Token: token, Holder: r.Self}
 	c.heldHere, c.acquiredAt, c.fenced = true, r.now, false
 	r.lastSharedChangeAt = r.now
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -24,6 +24,9 @@
 	// previousZones are the zones whose targets a previous holder may have used. The list is
 	// empty until the holder has changed.
 	previousZones []string
+	// lostZones are the zones that the current holder has lost since the job was offered to it. It
+	// may have used their targets.
+	lostZones []string
 	// unresolvedOffers are the offers to previous holders that may have started the job. The zero
 	// value stands for one whose process has ended, so that it stays unresolved.
 	unresolvedOffers []pastOffer
@@ -88,7 +91,7 @@
 	if q.holder != "" {
 		r.recordHolderChange(q)
 	}
-	q.holder, q.token, q.zone, q.offerCount = h.Address, c.claim.Token, zone, 0
+	q.holder, q.token, q.zone, q.offerCount, q.lostZones = h.Address, c.claim.Token, zone, 0, nil
 	r.emit(Decision{Action: "offer", Job: q.job.ID, Routine: true, Pairs: []any{
 		"holder", h.Name, "zone", zone, "token", q.token, "left", q.deadline.Sub(r.now).String(), "resent", len(q.previousZones) > 0, "tasks", q.job.Count,
 	}})
@@ -137,7 +140,7 @@
 // take over.
 func (r *Router) recordHolderChange(q *request) {
 	for _, zone := range sortedKeys(r.cells) {
-		used := zone == q.zone || r.sharesCells(q.zone) && r.sharesCells(zone) || r.cells[zone].claim.Holder.Address == q.holder
+		used := zone == q.zone || r.sharesCells(q.zone) && r.sharesCells(zone) || r.cells[zone].claim.Holder.Address == q.holder || slices.Contains(q.lostZones, zone)
 		if used && !slices.Contains(q.previousZones, zone) {
 			q.previousZones = append(q.previousZones, zone)
 		}
@@ -147,6 +150,15 @@
 	q.holder, q.token = "", 0
 }
 
+// recordLostZone notes that the holder of a cell loses it to another host.
+func (r *Router) recordLostZone(c *cell) {
+	for _, q := range r.requestsByJob {
+		if q.holder != "" && q.holder == c.claim.Holder.Address {
+			q.lostZones = append(q.lostZones, c.zone)
+		}
+	}
+}
+
 // recordHolderRestart notes that the process of a host has ended, which was offered requests and can
 // no longer tell whether it has started them. What its next process says about these offers does
 // not count.
