internal/router: placing does not look through the runs of each target for suspects

Each placed task looked through the runs of every target whether one of them belongs to a task under which a target has crashed. Targets count such runs instead; same decisions.

--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -328,10 +328,8 @@
 		}
 		return 0
 	}
-	for _, n := range t.runs {
-		if n.suspect {
-			return isolationPenalty
-		}
+	if t.suspectCount > 0 {
+		return isolationPenalty
 	}
 	return 0
 }
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -284,6 +284,9 @@
 	}
 	delete(n.target.runs, name)
 	n.target.used = n.target.used.Minus(n.need)
+	if n.suspect {
+		n.target.suspectCount--
+	}
 	if n.target.used.CPU < 0 {
 		r.reportViolation("room of a target", "target %s has %d thousandths of a core in use", n.target.ID, n.target.used.CPU)
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -299,6 +299,9 @@
 	k.run = n
 	t.runs[name] = n
 	t.used = t.used.plus(n.need)
+	if n.suspect {
+		t.suspectCount++
+	}
 	j.mayHaveStarted = true
 	if j.firstStartAt.IsZero() {
 		j.firstStartAt = r.now
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -23,6 +23,8 @@
 	incarnation int64
 	runs        map[string]*run // by task
 	used        Resources
+	// suspectCount counts the runs of tasks under which a target had crashed before.
+	suspectCount int
 	// rejectedTotal is what the runs would have used with the last task that the target rejected
 	// for lack of room. Until rejectedUntil, they are not brought to as much again.
 	rejectedTotal Resources
