internal/router: a late run list of a target's former process is ignored

What callers could see: tasks that wait for runs that are over.

Cause: any other start time in a run list counted as a restart. The list of the former process can arrive after that of the next one, on another connection: the target then went back to the former process, its runs became orphans or were taken over, until the next list.

Evidence: TestLateRunListOfFormerTargetProcessIsIgnored failed before. A list with another start time is used only if it was asked for after the newest one that was answered; start times are not compared, since clocks may step back.

--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -8,10 +8,14 @@
 // handleRunList handles a successful answer to a renewal, which lists the target's running
 // tasks and the ends of others.
 func (r *Router) handleRunList(t *target, e RenewAnswered) {
-	t.updateClock(e.Clock)
 	if e.StartedAt > 0 && t.incarnation > 0 && e.StartedAt != t.incarnation {
+		if e.SentAt.Before(t.lastConfirmedAt) {
+			r.logTarget(t, "outdated", "born", e.StartedAt)
+			return // it may be from the former process; the next list will tell
+		}
 		r.handleTargetRestart(t, e.StartedAt)
 	}
+	t.updateClock(e.Clock)
 	if e.StartedAt > 0 {
 		t.incarnation = e.StartedAt
 		r.updateCrashes(t.ID, e.StartedAt, true)
