internal/router: room that an unknown run has taken is used again once it is gone

What callers could see, by reading: a target that stays half empty for up to 2.2 s after orders that were carried out late. A rejection for lack of room was taken as a sign that the target has shrunk, also if a run that the holder did not know was the reason. Once the list shows such a run, the rejected total no longer counts. TestRoomOfOrphanIsUsedOnceItIsGone fails without the change.

--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -100,3 +100,18 @@
 		}
 	}
 }
+
+// TestRoomOfOrphanIsUsedOnceItIsGone: a target that had no room because of a run that its holder
+// did not know must get tasks again as soon as that run has ended.
+func TestRoomOfOrphanIsUsedOnceItIsGone(t *testing.T) {
+	b := &answeringBed{holderBed: newHolderBed(t, 1, ClaimWon)}
+	j := twoTaskJob("j")
+	j.Count, j.Stretch = 1, 100
+	starts := b.startsOf(b.step(Submit{Request: 1, Job: j, Budget: 20 * time.Second}))
+	require.Len(t, starts, 1)
+	require.Empty(t, b.startsOf(b.step(StartAnswered{Target: "p", Task: starts[0].Task, Run: starts[0].Run, Result: NoCapacity})))
+	require.NotEmpty(t, b.pending)
+	require.Empty(t, b.startsOf(b.answerRenewal(b.pending[0], RunningTask{Task: "orphan.0.0.0", Run: 1})))
+	b.pending = b.pending[1:]
+	assert.Len(t, b.startsWithin(1500*time.Millisecond), 1)
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -113,6 +113,7 @@
 		return
 	}
 	t.orphanRunNumbers[entry.Task] = entry.Run
+	t.rejectedUntil = time.Time{} // the run may be why the target had no room
 }
 
 // adoptRun takes over a run that a previous holder started, if its task still waits. It reports
