--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -132,7 +132,7 @@
 		address string
 		key     string
 		handler http.Handler
-	}{{settings.ClientAddress, "clients", frontend.ClientHandler()}, {settings.ProbeAddress, "probe", frontend.ReadinessHandler()}, {settings.LinkAddress, "links", peerMux}}
+	}{{settings.ClientAddress, "clients", frontend.ClientHandler()}, {settings.ProbeAddress, "probe", frontend.ReadinessHandler()}, {settings.BindAddress, "links or bind", peerMux}}
 	if settings.MetricsAddress != "" {
 		metricsMux := http.NewServeMux()
 		metricsMux.Handle("GET /metrics", metrics)
--- a/internal/loader/node.go
+++ b/internal/loader/node.go
@@ -25,6 +25,9 @@
 	ProbeAddress   string
 	LinkAddress    string
 	MetricsAddress string
+	// BindAddress is the address on which the daemon listens for other entry hosts, if it
+	// differs from LinkAddress, at which they reach it.
+	BindAddress string
 	// Seeds are the link addresses of some other entry hosts, through which the host
 	// finds the rest. They may be out of date.
 	Seeds []string
@@ -79,10 +82,14 @@
 	v.ClientAddress = s.RequiredText("clients", "write the address for clients, such as 127.0.0.1:7100")
 	v.ProbeAddress = s.RequiredText("probe", "write the address for the load balancer, such as 127.0.0.1:7101")
 	v.LinkAddress = s.RequiredText("links", "write the address for other entry hosts, such as 127.0.0.1:7102")
+	v.BindAddress = s.Text("bind", "")
 	v.MetricsAddress = s.Text("metrics", "")
-	for key, address := range map[string]string{"clients": v.ClientAddress, "probe": v.ProbeAddress, "links": v.LinkAddress, "metrics": v.MetricsAddress} {
+	for key, address := range map[string]string{"clients": v.ClientAddress, "probe": v.ProbeAddress, "links": v.LinkAddress, "bind": v.BindAddress, "metrics": v.MetricsAddress} {
 		checkAddress(doc, "node", key, address)
 	}
+	if v.BindAddress == "" {
+		v.BindAddress = v.LinkAddress
+	}
 	v.Bounds.ShutdownTimeout = s.Duration("grace", v.Bounds.ShutdownTimeout, time.Second, time.Hour)
 	v.Bounds.ShutdownLinger = s.Duration("linger", v.Bounds.ShutdownLinger, 0, time.Hour)
 }
--- a/internal/loader/node_test.go
+++ b/internal/loader/node_test.go
@@ -40,6 +40,7 @@
 	assert.Equal(t, "1", settings["node.power"].Value)
 	assert.Equal(t, "150", settings["targets.split"].Value)
 	assert.Len(t, v.Values, len(settings), "each key is listed once")
+	assert.Equal(t, v.LinkAddress, v.BindAddress)
 	assert.Equal(t, 2*time.Second, v.Bounds.LeaseDuration)
 }
 
