internal/router: crashes are logged by holders only

Each host that heard of a crash logged and counted it, so the metric rose with the number of hosts (seen in a trace of the model). A unit test now reads the lines suspect, crash and acquit.

--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -227,7 +227,12 @@
 	r.logCrash(action, c)
 }
 
+// logCrash logs a change of the ledger. Only holders do, so that a crash is not counted once for
+// each host that hears of it.
 func (r *Router) logCrash(action string, c Crash) {
+	if !r.holdsAnyCell() {
+		return
+	}
 	r.emit(Decision{Action: action, Job: c.Job, Task: taskName(c.Job, c.Task), Target: c.Target, Pairs: []any{
 		"born", c.StartedAt, "crashes", len(r.crashes.crashesOf(c.Job, c.Task)),
 	}})
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -19,6 +19,7 @@
 	starts    []Start
 	answers   []Verdict
 	sent      []Message
+	logged    []string // actions of the ledger's decisions, with the targets
 }
 
 // pendingRenewal is a renewal that is answered, or counts as unanswered, at a later time.
@@ -98,6 +99,10 @@
 			b.renewals = append(b.renewals, pendingRenewal{e, b.now})
 		case Answer:
 			b.answers = append(b.answers, e.Verdict)
+		case Decision:
+			if e.Action == "suspect" || e.Action == "crash" || e.Action == "acquit" {
+				b.logged = append(b.logged, e.Action+" "+e.Target)
+			}
 		case Violation:
 			b.t.Errorf("%s: %s", e.Invariant, e.Detail)
 		case Send:
@@ -174,6 +179,8 @@
 	assert.Equal(t, Failed, b.answers[0].Outcome)
 	assert.Equal(t, Crashes, b.answers[0].Reason)
 	assert.Len(t, b.startsOf("x.0.0.0"), 2)
+	first, second := starts[0].Target.ID, starts[1].Target.ID
+	assert.ElementsMatch(t, []string{"suspect " + first, "suspect " + second, "crash " + first, "crash " + second}, b.logged)
 }
 
 // TestCrashesAreKeptForResubmission guards against a deadly task that starts again for another
@@ -207,6 +214,7 @@
 	b.run(time.Second)
 	assert.Empty(t, b.answers)
 	assert.Len(t, b.startsOf("x.0.0.0"), 3)
+	assert.Contains(t, b.logged, "acquit "+starts[0].Target.ID)
 }
 
 // TestDoneTaskClearsCrashes guards against crashes that are held against a task that has ended
