internal/router: an offer without a claim from before the takeover is not refused as not run

Cause: their offers name no claim, so a holder that has restarted cannot tell that an offer was made to its former process. It took it for a new one and could refuse it.

Evidence: TestOfferWithoutClaimBeforeTakeoverIsNotRefused failed before. A job that had arrived at such a host before the cell was acquired now waits for runs of earlier holders and is reported as one that may have run. Jobs that arrived later, and offers that name a claim, are treated as before.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -159,6 +159,9 @@
 func (r *Router) admitOffer(origin Member, o *Offer, previous *job) {
 	j := r.newJob(origin, o)
 	j.inheritRuns(previous)
+	if c := r.cells[j.zone]; o.Token == 0 && j.arrivedAt.Before(c.acquiredAt) {
+		r.assumeEarlierHolder(j)
+	}
 	j.likelyRetry = r.isLikelyRetry(j)
 	if v, refused := r.admit(j); refused {
 		v.Outcome = j.reportableOutcome(v.Outcome)
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -13,6 +13,15 @@
 // of. Offers of builds that name no claim count as current.
 func (c *cell) isOfferCurrent(o *Offer) bool { return o.Token == 0 || o.Token == c.claim.Token }
 
+// assumeEarlierHolder treats a job as one that an earlier holder of its zone may have started. Offers
+// that name no claim do not tell whether they were made to the present one.
+func (r *Router) assumeEarlierHolder(j *job) {
+	j.mayHaveStartedEarlier = true
+	if !j.reoffered {
+		j.reoffered, j.previousZones, j.quarantinedUntil = true, []string{j.zone}, r.now.Add(r.Bounds.QuarantineDuration)
+	}
+}
+
 // isLateCopy reports whether an offer is a late copy of an offer whose final verdict was
 // already sent to the job's host.
 func (j *job) isLateCopy(origin string, o *Offer) bool {
--- a/internal/router/stale_offer_test.go
+++ b/internal/router/stale_offer_test.go
@@ -83,3 +83,32 @@
 		assert.Equal(t, test.ends, verdictTo(origin, effects) != nil, "submission %d", test.submissionID)
 	}
 }
+
+// TestOfferWithoutClaimBeforeTakeoverIsNotRefused guards against a refusal as not run of a job that
+// a previous holder may have started, if its host's offers name no claim.
+func TestOfferWithoutClaimBeforeTakeoverIsNotRefused(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	for _, test := range []struct {
+		elapsed time.Duration
+		want    Outcome
+	}{{time.Second, Unknown}, {0, Refused}} {
+		b := newHolderBed(t, 1, ClaimWon)
+		b.receiveHeartbeatFrom(origin)
+		offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, Elapsed: test.elapsed, SubmissionID: 7}
+		offer.Job.Label = "elsewhere"
+		b.router.directory.Targets = append(b.router.directory.Targets, Target{ID: "z", Service: "work", Zone: "south", Capacity: offer.Job.Need, Labels: []string{"elsewhere"}})
+		b.router.evacuations.Zones = []string{"south"}
+		verdict := verdictTo(origin, b.step(Receive{From: origin, Message: Message{Offer: offer}}))
+		if test.want == Unknown {
+			assert.Nil(t, verdict, "it waits for runs of the previous holder")
+			for range 100 {
+				b.receiveHeartbeatFrom(origin)
+				if v := verdictTo(origin, b.advance(100*time.Millisecond)); v != nil {
+					verdict = v
+				}
+			}
+		}
+		require.NotNil(t, verdict)
+		assert.NotEqual(t, test.want == Unknown, verdict.Outcome == Refused, "%v before the offer: %s", test.elapsed, verdict.Outcome)
+	}
+}
