--- a/internal/modeler/capacity_test.go
+++ b/internal/modeler/capacity_test.go
@@ -4,9 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"runtime"
 	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -30,21 +28,11 @@
 // TestInvariantsHoldWhileCapacitiesChange checks the invariants under random faults while the
 // capacities of targets shrink and grow.
 func TestInvariantsHoldWhileCapacitiesChange(t *testing.T) {
-	var group sync.WaitGroup
-	slots := make(chan struct{}, runtime.GOMAXPROCS(0)) // parallel simulations
-	for seed := *firstSeed; seed < *firstSeed+uint64(*shrinkCount); seed++ {
-		slots <- struct{}{}
-		group.Go(func() {
-			sim := randomSimulation(seed)
-			addShrinks(sim)
-			sim.Run()
-			if !assert.Empty(t, sim.Violations, "seed %d, %+v, unguarded %v, share of orders executed late %v, share of answers lost %v, targets under one holder %d, hosts in a full mesh %d, hosts per zone %d", seed, sim.Faults, sim.UnguardedTargets, sim.LateOrderShare, sim.LostAnswerShare, sim.Bounds.MaxSharedTargets, sim.Bounds.FullMeshHosts, sim.Size.HostsPerZone) {
-				logResults(t, sim)
-			}
-			<-slots
-		})
-	}
-	group.Wait()
+	checkSimulations(t, *shrinkCount, func(seed uint64) *Simulation {
+		sim := randomSimulation(seed)
+		addShrinks(sim)
+		return sim
+	})
 }
 
 // newShrinkSimulation returns a small deployment in which most targets shrink.
--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -86,15 +86,25 @@
 // evacuated zone later than the bound allows, a job answered as complete
 // has all its tasks done, and every client whose host runs gets an answer.
 func TestInvariantsHoldUnderRandomFaults(t *testing.T) {
+	checkSimulations(t, *simulationCount, func(seed uint64) *Simulation {
+		sim := randomSimulation(seed)
+		addEvacuations(sim)
+		return sim
+	})
+}
+
+// checkSimulations runs a simulation for each of count seeds from firstSeed on, in parallel, and
+// checks that none violates an invariant.
+func checkSimulations(t *testing.T, count int, build func(seed uint64) *Simulation) {
+	t.Helper()
 	var group sync.WaitGroup
 	slots := make(chan struct{}, runtime.GOMAXPROCS(0)) // parallel simulations
-	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
+	for seed := *firstSeed; seed < *firstSeed+uint64(count); seed++ {
 		slots <- struct{}{}
 		group.Go(func() {
-			sim := randomSimulation(seed)
-			addEvacuations(sim)
+			sim := build(seed)
 			sim.Run()
-			if !assert.Empty(t, sim.Violations, "seed %d, %+v, share of orders executed late %v, share of answers lost %v, targets under one holder %d, hosts in a full mesh %d, hosts per zone %d", seed, sim.Faults, sim.LateOrderShare, sim.LostAnswerShare, sim.Bounds.MaxSharedTargets, sim.Bounds.FullMeshHosts, sim.Size.HostsPerZone) {
+			if !assert.Empty(t, sim.Violations, "seed %d, %+v, unguarded %v, share of orders executed late %v, share of answers lost %v, targets under one holder %d, hosts in a full mesh %d, hosts per zone %d", seed, sim.Faults, sim.UnguardedTargets, sim.LateOrderShare, sim.LostAnswerShare, sim.Bounds.MaxSharedTargets, sim.Bounds.FullMeshHosts, sim.Size.HostsPerZone) {
 				logResults(t, sim)
 			}
 			<-slots
--- a/internal/modeler/disruption_test.go
+++ b/internal/modeler/disruption_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"runtime"
-	"sync"
 	"testing"
 	"time"
 
@@ -94,20 +92,7 @@
 // TestInvariantsHoldUnderRandomFaults under faults of connections, slow hosts and crashes in
 // series.
 func TestInvariantsHoldUnderConnectionFaults(t *testing.T) {
-	var group sync.WaitGroup
-	slots := make(chan struct{}, runtime.GOMAXPROCS(0)) // parallel simulations
-	for seed := *firstSeed; seed < *firstSeed+uint64(*simulationCount); seed++ {
-		slots <- struct{}{}
-		group.Go(func() {
-			sim := randomConnectionSimulation(seed)
-			sim.Run()
-			if !assert.Empty(t, sim.Violations, "seed %d, %+v, targets under one holder %d, hosts in a full mesh %d, hosts per zone %d", seed, sim.Faults, sim.Bounds.MaxSharedTargets, sim.Bounds.FullMeshHosts, sim.Size.HostsPerZone) {
-				logResults(t, sim)
-			}
-			<-slots
-		})
-	}
-	group.Wait()
+	checkSimulations(t, *simulationCount, randomConnectionSimulation)
 }
 
 // TestConnectionRegressionSeeds repeats the simulations of TestInvariantsHoldUnderConnectionFaults
