modeler: the tests run in parallel

Many of them are one simulation after another, so that the package took more than 6 minutes beside two busy processes and came near the time limit of its run. Same simulations, same checks.

--- a/internal/modeler/capacity_test.go
+++ b/internal/modeler/capacity_test.go
@@ -28,6 +28,7 @@
 // TestInvariantsHoldWhileCapacitiesChange checks the invariants under random faults while the
 // capacities of targets shrink and grow.
 func TestInvariantsHoldWhileCapacitiesChange(t *testing.T) {
+	t.Parallel()
 	checkSimulations(t, *shrinkCount, func(seed uint64) *Simulation {
 		sim := randomSimulation(seed)
 		addShrinks(sim)
@@ -46,6 +47,7 @@
 // of reads and an order under way, whether one host holds all zones or each zone has a holder,
 // and whether or not the targets guard their capacity.
 func TestShrunkCapacityIsUsedAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, maxShared := range []int{150, 6} {
 		for _, unguarded := range []bool{false, true} {
 			sim := newShrinkSimulation()
@@ -61,6 +63,7 @@
 // TestShrunkCapacityHoldsUnderEachFault shrinks targets just after each fault of the hosts, the
 // store or the network has begun.
 func TestShrunkCapacityHoldsUnderEachFault(t *testing.T) {
+	t.Parallel()
 	for _, f := range faultsOfHostsAndNetwork() {
 		t.Run(fmt.Sprintf("%s-%s", f.Kind, f.Selector), func(t *testing.T) {
 			t.Parallel()
--- a/internal/modeler/chaos_test.go
+++ b/internal/modeler/chaos_test.go
@@ -86,6 +86,7 @@
 // evacuated zone later than the bound allows, a job answered as complete
 // has all its tasks done, and every client whose host runs gets an answer.
 func TestInvariantsHoldUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	checkSimulations(t, *simulationCount, func(seed uint64) *Simulation {
 		sim := randomSimulation(seed)
 		addEvacuations(sim)
@@ -115,6 +116,7 @@
 
 // TestRegressionSeeds repeats the random simulations that once violated an invariant.
 func TestRegressionSeeds(t *testing.T) {
+	t.Parallel()
 	for seed, cause := range map[uint64]string{
 		267:    "a host that regained a cell continued its previous jobs",
 		330:    "a new holder extended the leases of orphans",
@@ -134,6 +136,7 @@
 // TestSameSeedRepeatsSimulation checks that two simulations with the same seed make the same
 // decisions.
 func TestSameSeedRepeatsSimulation(t *testing.T) {
+	t.Parallel()
 	var trace [2][]string
 	for i := range trace {
 		sim := randomSimulation(5)
--- a/internal/modeler/crash_test.go
+++ b/internal/modeler/crash_test.go
@@ -33,6 +33,7 @@
 // TestDeadlyTaskDoesNotCrashTargetAfterTarget guards against a task that crashes the targets
 // that start it and is started at one after another.
 func TestDeadlyTaskDoesNotCrashTargetAfterTarget(t *testing.T) {
+	t.Parallel()
 	const seeds = 12
 	for seed := uint64(1); seed <= seeds; seed++ {
 		sim := crashSimulation(seed)
--- a/internal/modeler/disruption_test.go
+++ b/internal/modeler/disruption_test.go
@@ -81,6 +81,7 @@
 // TestLongPauseOfHostsDoesNotRefuseStartedJobs guards against refusals as not run of jobs that a
 // holder had forgotten when the hosts of their clients offered them again.
 func TestLongPauseOfHostsDoesNotRefuseStartedJobs(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(33); seed < 35; seed++ {
 		sim := longPauseSimulation(seed)
 		sim.Run()
@@ -92,12 +93,14 @@
 // TestInvariantsHoldUnderRandomFaults under faults of connections, slow hosts and crashes in
 // series.
 func TestInvariantsHoldUnderConnectionFaults(t *testing.T) {
+	t.Parallel()
 	checkSimulations(t, *simulationCount, randomConnectionSimulation)
 }
 
 // TestConnectionRegressionSeeds repeats the simulations of TestInvariantsHoldUnderConnectionFaults
 // that once violated an invariant.
 func TestConnectionRegressionSeeds(t *testing.T) {
+	t.Parallel()
 	for seed, cause := range map[uint64]string{
 		1023: "a restarted holder refused a job of another zone that its previous process had started",
 		1282: "a restarted holder refused a job that its previous process had started, and a third zone started it again",
--- a/internal/modeler/evacuation_test.go
+++ b/internal/modeler/evacuation_test.go
@@ -17,6 +17,7 @@
 // the network begins just before, just after or 2 s after it. No host may start a task there
 // later than the bound allows, and at least half of the benefit must be achieved.
 func TestEvacuationHoldsUnderEachFault(t *testing.T) {
+	t.Parallel()
 	const second, begin = time.Second, 3 * time.Second
 	for _, f := range faultsOfHostsAndNetwork() {
 		for _, offset := range []time.Duration{-150 * time.Millisecond, 5 * time.Millisecond, 2 * second} {
@@ -37,6 +38,7 @@
 // evacuated zone after spreadTime, whether one host holds all zones or each zone has a
 // holder, and that the zone is empty at the end of the evacuation.
 func TestEvacuationTakesEffectAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, maxShared := range []int{150, 10} {
 		sim := testSimulation(0.6, 12*time.Second, Fault{Kind: EvacuateZone, Selector: "north", At: 4 * time.Second, Duration: 6 * time.Second})
 		sim.Bounds.MaxSharedTargets = maxShared
@@ -62,6 +64,7 @@
 // by the other zones, whether one host holds all zones or each zone has a holder. Two thirds of
 // the capacity carry the load.
 func TestClientsOfEvacuatedZoneAreServed(t *testing.T) {
+	t.Parallel()
 	for _, maxShared := range []int{150, 10} {
 		t.Run(fmt.Sprint(maxShared), func(t *testing.T) {
 			meanBenefit(t, func() *Simulation {
@@ -81,6 +84,7 @@
 // three times as slow does not delay its clients, whether one host holds all zones or each zone
 // has a holder: other targets serve them meanwhile.
 func TestColdZoneBarelyDelaysJobs(t *testing.T) {
+	t.Parallel()
 	for name, site := range map[string]func() Simulation{"restrepo": Restrepo, "coarse": Coarse} {
 		t.Run(name, func(t *testing.T) {
 			benefit := meanBenefit(t, func() *Simulation {
@@ -97,6 +101,7 @@
 // TestOverlappingEvacuations evacuates two zones at overlapping times, and one of them again
 // within a second after it was readmitted. The older state must not come back.
 func TestOverlappingEvacuations(t *testing.T) {
+	t.Parallel()
 	const second = time.Second
 	sim := testSimulation(0.4, 20*second,
 		Fault{Kind: EvacuateZone, Selector: "north", At: 4 * second, Duration: 3 * second},
--- a/internal/modeler/flood_test.go
+++ b/internal/modeler/flood_test.go
@@ -74,6 +74,7 @@
 // requireIsolation requires that a flood of one kind hardly slows down the other kinds.
 func requireIsolation(t *testing.T, flood string) {
 	t.Helper()
+	t.Parallel()
 	for _, name := range slices.Sorted(maps.Keys(Sites())) {
 		t.Run(name, func(t *testing.T) {
 			baseline, flooded := baselines[name](), simulateFlood(Sites()[name], flood)
--- a/internal/modeler/load_test.go
+++ b/internal/modeler/load_test.go
@@ -47,6 +47,7 @@
 // TestBenefitUnderHeavyLoad checks the benefit under the heaviest expected load and under
 // more than that.
 func TestBenefitUnderHeavyLoad(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ load, least float64 }{{heaviestLoad, 0.97}, {heaviestLoad * 1.3, 0.85}, {heaviestLoad * 2, 0}} {
 		t.Run(fmt.Sprintf("%.2f", c.load), func(t *testing.T) {
 			benefit := meanBenefit(t, func() *Simulation { return testSimulation(c.load, 12*time.Second) })
@@ -58,6 +59,7 @@
 // TestBenefitWithFaultyTargets checks the benefit at the default load while a seventh of the
 // targets fail all tasks, hang, run six times as slow or end, for eight seconds.
 func TestBenefitWithFaultyTargets(t *testing.T) {
+	t.Parallel()
 	for _, kind := range []FaultKind{FailTarget, HangTarget, SlowTarget, KillTarget} {
 		t.Run(string(kind), func(t *testing.T) {
 			f := Fault{Kind: kind, At: 3 * time.Second, Duration: 8 * time.Second, TargetShare: 1.0 / 7}
@@ -70,6 +72,7 @@
 // TestBusyZoneUsesRoomOfOthers checks that clients of the zone with the most jobs are served by
 // the targets of other zones while these have room, where each zone has a holder of its own.
 func TestBusyZoneUsesRoomOfOthers(t *testing.T) {
+	t.Parallel()
 	worst := func(policy router.Policy) float64 {
 		benefit := 0.0
 		meanBenefit(t, func() *Simulation {
@@ -91,6 +94,7 @@
 // TestPartitionedZoneUsesNoOtherCapacity guards against jobs that wait for the targets of a
 // partitioned zone and use up the capacity of the other zones, which must serve on.
 func TestPartitionedZoneUsesNoOtherCapacity(t *testing.T) {
+	t.Parallel()
 	sim := testSimulation(0.8, 10*time.Second, Fault{Kind: PartitionZone, Selector: "north", At: 4 * time.Second, Duration: 5 * time.Second})
 	sim.Run()
 	logResults(t, sim)
@@ -101,6 +105,7 @@
 // TestPartitionAffectsFewJobs checks that most jobs run in the zone of their clients, so that
 // the partition of another zone, or of their own, does not affect them.
 func TestPartitionAffectsFewJobs(t *testing.T) {
+	t.Parallel()
 	benefit := 0.0
 	for _, zone := range []string{"north", "west"} {
 		f := Fault{Kind: PartitionZone, Selector: zone, At: 4 * time.Second, Duration: 5 * time.Second}
@@ -112,6 +117,7 @@
 // TestBenefitWithLostAnswers checks the benefit while targets execute orders but a tenth of
 // their answers is lost.
 func TestBenefitWithLostAnswers(t *testing.T) {
+	t.Parallel()
 	benefit := meanBenefit(t, func() *Simulation {
 		sim := testSimulation(0.8, 10*time.Second)
 		sim.LostAnswerShare = 0.1
@@ -123,6 +129,7 @@
 // TestRetriedJobsAreServed checks that at least half of the refused jobs are completed when
 // their clients retry after the requested delay, after a burst and under lasting overload.
 func TestRetriedJobsAreServed(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name        string
 		load, times float64
@@ -147,6 +154,7 @@
 // TestSlowTargetsAreAvoided checks that clients lose little when a sixth of the targets run
 // six times as slow for seven seconds and the other targets have capacity for all jobs.
 func TestSlowTargetsAreAvoided(t *testing.T) {
+	t.Parallel()
 	f := Fault{Kind: SlowTarget, At: 3 * time.Second, Duration: 7 * time.Second, TargetShare: 1.0 / 6}
 	benefit := meanBenefit(t, func() *Simulation { return testSimulation(0.8, 12*time.Second, f) })
 	assert.GreaterOrEqual(t, benefit, 0.97)
--- a/internal/modeler/lost_test.go
+++ b/internal/modeler/lost_test.go
@@ -33,6 +33,7 @@
 // jobs were lost with all hosts send them again when the hosts are back, and new jobs that
 // can still be answered in time must not suffer.
 func TestRetriesDoNotDelayNewJobs(t *testing.T) {
+	t.Parallel()
 	benefit := benefitAfterLoss(t, router.Policy{})
 	assert.GreaterOrEqual(t, benefit, 0.90)
 	assert.Greater(t, benefit, benefitAfterLoss(t, router.Policy{RetryOrder: router.RetriesAsNew}))
--- a/internal/modeler/scenario_test.go
+++ b/internal/modeler/scenario_test.go
@@ -15,6 +15,7 @@
 
 // TestScenarioReportsAllFaults checks that one error lists all faults of a scenario.
 func TestScenarioReportsAllFaults(t *testing.T) {
+	t.Parallel()
 	_, err := ParseScenario("s.ini", "[scenario]\nsite = nowhere\nloads = 1, many\npolicies = pooled, best\nseeds = 0\nlenght = 3s\n[fault 1]\ntrouble = rain\nshare = 2\n")
 	var faults parser.Faults
 	require.ErrorAs(t, err, &faults)
@@ -25,6 +26,7 @@
 
 // TestExampleScenariosAreValid parses the scenarios of the examples.
 func TestExampleScenariosAreValid(t *testing.T) {
+	t.Parallel()
 	files, err := filepath.Glob(filepath.Join("..", "..", "examples", "scenarios", "*.ini"))
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
@@ -39,6 +41,7 @@
 // TestCurrentPolicyIsBest compares the policies under overload. No other policy achieves more
 // benefit than the current one, none exceeds the bound, and all get the same jobs.
 func TestCurrentPolicyIsBest(t *testing.T) {
+	t.Parallel()
 	s := &Scenario{Site: "restrepo", Loads: []float64{heaviestLoad * 1.3}, Seeds: 4, Length: 10 * time.Second}
 	for _, v := range PolicyVariants() {
 		s.Policies = append(s.Policies, v.Name)
@@ -65,6 +68,7 @@
 // TestBoundPrefersBenefitPerWork checks that the jobs with the highest benefit per work use
 // the capacity first.
 func TestBoundPrefersBenefitPerWork(t *testing.T) {
+	t.Parallel()
 	tally := Results{Jobs: []JobBenefit{{Benefit: 1, Work: 10}, {Benefit: 1, Work: 1}, {Benefit: 2, Work: 8}}}
 	assert.InDelta(t, 1, tally.MaxBenefitRatio(19), 1e-9)
 	assert.InDelta(t, (1+2+lateBenefit)/4, tally.MaxBenefitRatio(9), 1e-9)
@@ -74,6 +78,7 @@
 // TestAblationsDisableEachMechanism checks that each mechanism is disabled in turn, and that
 // the first row compares the current policy with itself.
 func TestAblationsDisableEachMechanism(t *testing.T) {
+	t.Parallel()
 	s := &Scenario{Site: "restrepo", Loads: []float64{0.5}, Seeds: 1, Length: time.Second}
 	s.Ablate()
 	assert.Len(t, s.Policies, 5+len(router.Mechanisms()))
@@ -92,6 +97,7 @@
 // TestMarginUsesPairedSeeds checks that the margin is computed from the differences between
 // simulations with the same seeds.
 func TestMarginUsesPairedSeeds(t *testing.T) {
+	t.Parallel()
 	simulationsWith := func(values ...float64) []*scenarioRun {
 		var list []*scenarioRun
 		for _, v := range values {
--- a/internal/modeler/size_test.go
+++ b/internal/modeler/size_test.go
@@ -35,6 +35,7 @@
 // TestIdleHostTrafficIsBounded checks that the traffic of a host without a cell does not grow
 // with the number of hosts, and stays within the budget for control traffic.
 func TestIdleHostTrafficIsBounded(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{75, 150} {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			sim := largeSimulation(hosts)
@@ -78,6 +79,7 @@
 // once, the others serve again before the load balancer removes them, and that no invariant
 // is violated.
 func TestServiceAfterLossOfHalfTheHosts(t *testing.T) {
+	t.Parallel()
 	var group sync.WaitGroup
 	for seed := range uint64(4) {
 		group.Go(func() {
@@ -107,6 +109,7 @@
 // TestLargeDeploymentServesFromStart checks that all zones are served from the start of the
 // load where each zone has its own holder.
 func TestLargeDeploymentServesFromStart(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{30, 75} {
 		sim := largeSimulation(hosts)
 		sim.Size.TargetsPerZone, sim.LoadDuration, sim.DrainDuration = 16, 4*time.Second, 3*time.Second
--- a/internal/modeler/world_test.go
+++ b/internal/modeler/world_test.go
@@ -29,6 +29,7 @@
 // TestLightLoadIsAnsweredInTime checks that nearly all jobs are answered in time under light
 // load without faults.
 func TestLightLoadIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
 	sim := testSimulation(0.6, 10*time.Second)
 	sim.Run()
 	logResults(t, sim)
@@ -63,6 +64,7 @@
 
 // TestInvariantsHoldUnderEachFault injects each fault alone, into holders and other hosts.
 func TestInvariantsHoldUnderEachFault(t *testing.T) {
+	t.Parallel()
 	const second = time.Second
 	for _, f := range append(faultsOfHostsAndNetwork(), []Fault{
 		{Kind: KillTarget, TargetShare: 0.15, Duration: 4 * second},
