internal/router: a refusal by a holder that may have forgotten the job is not reported as not run

Callers could be told 503 for a job that had run. A job's host that was paused repeats its offer over the new link, under the same claim.

The job's host now notes when it first sent an offer. Once the offer has been repeated and the first copy is older than Bounds.VerdictRetention, for which every build remembers an ended job, a refusal counts as one that may have run (502), a return counts as a change of the holder, and a late verdict of a previous holder resolves nothing. What is refused after a link was replaced within that time stays 503, as does what was offered only once.

Ruled out, by reading: a Refused or Returned verdict that names no claim and belongs to an earlier claim. After a change of the claim the job counts as possibly started, and a verdict without a claim does not end that.

--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -13,14 +13,11 @@
 	clientRequests []uint64 // numbers of the client requests that wait for the job's answer
 	arrivedAt      time.Time
 	deadline       time.Time
-	// holder is the address of the host that the job was offered to, and token the claim under
-	// which it was offered. Both are zero while no host has the job.
-	holder string
-	token  uint64
+	// sentOffer is the offer to the current holder. Its holder and token are zero while no host has
+	// the job.
+	sentOffer
 	// zone is the zone for which that holder was offered the job.
 	zone string
-	// offerCount is how often the job was offered to that holder.
-	offerCount int
 	// previousZones are the zones whose targets a previous holder may have used. The list is
 	// empty until the holder has changed.
 	previousZones []string
@@ -29,7 +26,7 @@
 	lostZones []string
 	// unresolvedOffers are the offers to previous holders that may have started the job. The zero
 	// value stands for one whose process has ended, so that it stays unresolved.
-	unresolvedOffers []pastOffer
+	unresolvedOffers []sentOffer
 	// spill is set while the job is offered to another zone after the own zone's refusal.
 	spill spill
 	// evacuatedZones are the zones whose holders refused the job because they are evacuated.
@@ -39,10 +36,19 @@
 	hasDoneTask    bool // a task of the job was reported done
 }
 
-// pastOffer is an offer of a job to a holder under the claim with the token.
-type pastOffer struct {
-	holder string
-	token  uint64
+// sentOffer is an offer of a job to a holder, which is repeated over each new link.
+type sentOffer struct {
+	holder      string // address
+	token       uint64 // token of the claim under which the job was offered
+	firstSentAt time.Time
+	offerCount  int // how often it was sent
+}
+
+// mayBeForgotten reports whether the holder of a repeated offer may have ended and forgotten the job
+// before it received the last copy, so that its verdict does not tell whether the job has started. All
+// builds retain ended jobs for Bounds.VerdictRetention, but not all until their deadline.
+func (r *Router) mayBeForgotten(o *sentOffer) bool {
+	return o.offerCount > 1 && r.now.Sub(o.firstSentAt) > r.Bounds.VerdictRetention
 }
 
 const (
@@ -91,7 +97,8 @@
 	if q.holder != "" {
 		r.recordHolderChange(q)
 	}
-	q.holder, q.token, q.zone, q.offerCount, q.lostZones = h.Address, c.claim.Token, zone, 0, nil
+	q.sentOffer = sentOffer{holder: h.Address, token: c.claim.Token, firstSentAt: r.now}
+	q.zone, q.lostZones = zone, nil
 	r.emit(Decision{Action: "offer", Job: q.job.ID, Routine: true, Pairs: []any{
 		"holder", h.Name, "zone", zone, "token", q.token, "left", q.deadline.Sub(r.now).String(), "resent", len(q.previousZones) > 0, "tasks", q.job.Count,
 	}})
@@ -145,7 +152,7 @@
 			q.previousZones = append(q.previousZones, zone)
 		}
 	}
-	q.unresolvedOffers = append(q.unresolvedOffers, pastOffer{holder: q.holder, token: q.token})
+	q.unresolvedOffers = append(q.unresolvedOffers, q.sentOffer)
 	q.runBase += runNumberStride
 	q.holder, q.token = "", 0
 }
@@ -169,7 +176,7 @@
 		}
 		for i := range q.unresolvedOffers {
 			if q.unresolvedOffers[i].holder == address {
-				q.unresolvedOffers[i] = pastOffer{}
+				q.unresolvedOffers[i] = sentOffer{}
 			}
 		}
 	}
@@ -241,6 +248,9 @@
 	}
 	switch v.Outcome {
 	case Returned:
+		if r.mayBeForgotten(&q.sentOffer) {
+			r.recordHolderChange(q)
+		}
 		q.holder, q.token = "", 0 // checkRequests offers it to the current holder
 	case WrongHolder:
 		// The holder did not accept the job, so checkRequests offers it to the current holder.
@@ -258,10 +268,10 @@
 }
 
 // handleRefusal handles the refusal of a request by its current holder. Unless a previous holder
-// may have started the job, another zone may serve it.
+// or this one may have started the job, another zone may serve it.
 func (r *Router) handleRefusal(q *request, v Verdict) {
 	switch {
-	case len(q.previousZones) > 0:
+	case len(q.previousZones) > 0, r.mayBeForgotten(&q.sentOffer):
 		v.Outcome = Unknown
 	case v.Reason == Evacuated && r.offerElsewhere(q), v.Elsewhere != "" && r.spillRequest(q, v):
 		return
@@ -281,7 +291,9 @@
 		return
 	}
 	before := len(q.unresolvedOffers)
-	q.unresolvedOffers = slices.DeleteFunc(q.unresolvedOffers, func(o pastOffer) bool { return o == pastOffer{holder: holder, token: v.Token} })
+	q.unresolvedOffers = slices.DeleteFunc(q.unresolvedOffers, func(o sentOffer) bool {
+		return o.holder == holder && o.token == v.Token && !r.mayBeForgotten(&o)
+	})
 	if before == 0 || len(q.unresolvedOffers) > 0 {
 		return
 	}
