internal/router: a late offer of a process before its clock was set back does not start

What callers saw: a job could start after its client was told that it is not run. A host refuses nothing wrongly here; a copy of its offer waits in a replaced connection, the host restarts, and the copy arrives at the holder after the holder has forgotten the refusal.

Cause: a holder tells late copies by time: an offer that was sent before a heartbeat which has arrived is dropped (hasOvertaken). Both times are on the clock of the offer's host. If that clock is set back between two processes of the host, by less than the first has run, the second process has a higher incarnation and is known as the new one, but its times are below those of the late offers.

Evidence: without the fix TestLateOfferOfProcessBeforeClockWasSetBackDoesNotStart fails: "Should be empty, but was [... j.0.0.0 1 ...] [... j.0.0.1 1 ...]", two starts.

Offers name the incarnation of the process that sent them (optional, so hosts of older builds leave it out and are treated as before). One of a former process is dropped, whatever its times.

A peer that restarts before it was ever reachable kept the newest time of its former process, which it can't echo: it was not reachable before its clock had passed that time. TestPeerNotReachedBeforeItsClockWasSetBackIsEchoed fails without the fix (expected, actual).

TestCrashesReachNextHolder hands an offer of one host over as that of another; the copy names that one's process now, as it already names its claim.

--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -272,7 +272,7 @@
 
 	b := newCrashBed(t, 3)
 	b.receiveHeartbeatFrom("10.0.0.9:1")
-	offered[0].Token = b.router.cells["north"].claim.Token
+	offered[0].Token, offered[0].Incarnation = b.router.cells["north"].claim.Token, b.router.peers["10.0.0.9:1"].member.Incarnation
 	b.settle(b.step(Receive{From: "10.0.0.9:1", Message: Message{Offer: &offered[0]}}))
 	require.NotEmpty(t, b.sent)
 	verdict := b.sent[len(b.sent)-1].Verdict
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -165,6 +165,9 @@
 	Token uint64 `cbor:"10,keyasint,omitempty"`
 	// Crashes are the crashes of targets under tasks of the job.
 	Crashes []Crash `cbor:"11,keyasint,omitempty"`
+	// Incarnation is the incarnation of the process that sent the offer; hosts of earlier versions
+	// leave it out.
+	Incarnation int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // sentAt returns when the offer was sent, on its host's clock in Unix nanoseconds.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -129,7 +129,7 @@
 	return &Offer{
 		Job: q.job, TimeLeft: q.deadline.Sub(r.now), Elapsed: r.now.Sub(q.arrivedAt),
 		Reoffered: len(q.previousZones) > 0, PreviousZones: q.previousZones, Done: q.doneTasks, RunBase: q.runBase, SubmissionID: q.arrivedAt.UnixNano(),
-		Zone: q.zone, Token: q.token, Crashes: r.crashes.crashesOfJob(q.job.ID, q.job.Count),
+		Zone: q.zone, Token: q.token, Crashes: r.crashes.crashesOfJob(q.job.ID, q.job.Count), Incarnation: r.Self.Incarnation,
 	}
 }
 
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -69,6 +69,12 @@
 	return o.SubmissionID != 0 && o.sentAt() < p.lastPeerTimestamp
 }
 
+// isFromFormerProcess reports whether an offer was sent by a former process of the peer's host. The times
+// in it do not tell, since the clock may have been set back before the present process started.
+func (p *peer) isFromFormerProcess(o *Offer) bool {
+	return o.Incarnation != 0 && o.Incarnation < p.member.Incarnation
+}
+
 // mayRunJobsOf reports whether the jobs of the peer's clients may continue to run here.
 func (r *Router) mayRunJobsOf(p *peer) bool {
 	return !p.lastEchoedAt.IsZero() && r.now.Sub(p.lastEchoedAt) <= r.Bounds.OriginTimeout
@@ -129,6 +135,8 @@
 		return // no peer is known at this address
 	}
 	switch m := e.Message; {
+	case m.Offer != nil && p.isFromFormerProcess(m.Offer):
+		r.emit(Decision{Action: "overtaken", Job: m.Offer.Job.ID, Routine: true, Pairs: []any{"origin", e.From, "offered", m.Offer.Token, "process", m.Offer.Incarnation}})
 	case m.Offer != nil:
 		r.handleOffer(p, m.Offer)
 	case m.Withdraw != nil:
@@ -201,6 +209,7 @@
 	}
 	if m.Incarnation > p.member.Incarnation {
 		r.recordHolderRestart(p.member.Address)
+		p.lastPeerTimestamp = 0 // the clock may have been set back
 	}
 	if m.Incarnation > p.member.Incarnation && p.hasBeenReachable {
 		r.recordHostLoss(p)
--- /dev/null
+++ b/internal/router/set_back_test.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// receiveHeartbeatOf delivers a heartbeat of a process of another host that makes it known and
+// reachable. sent is the time on the process's clock.
+func (b *originBed) receiveHeartbeatOf(m Member, sent time.Time) []Effect {
+	return b.step(Receive{From: m.Address, Message: Message{Heartbeat: &Heartbeat{Member: m, Sent: sent.UnixNano(), Echo: b.now.UnixNano()}}})
+}
+
+// TestLateOfferOfProcessBeforeClockWasSetBackDoesNotStart guards against a start of a job whose
+// client was told that it is refused: the times of the host's next process are lower than that of the offer.
+func TestLateOfferOfProcessBeforeClockWasSetBackDoesNotStart(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	origin := Member{Name: "n", Zone: "north", Address: "10.0.0.9:1", Incarnation: 5, Slot: 9}
+	b.receiveHeartbeatOf(origin, b.now)
+	late := &Offer{
+		Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: b.now.UnixNano(), Token: b.router.cells["north"].claim.Token, Incarnation: origin.Incarnation,
+	}
+	origin.Incarnation++
+	b.receiveHeartbeatOf(origin, b.now.Add(-3*time.Second))
+	assert.Empty(t, effectsOf[Start](b.step(Receive{From: origin.Address, Message: Message{Offer: late}})))
+
+	current := *late
+	current.SubmissionID, current.Incarnation = b.now.Add(-2*time.Second).UnixNano(), origin.Incarnation
+	assert.Len(t, effectsOf[Start](b.step(Receive{From: origin.Address, Message: Message{Offer: &current}})), 2)
+}
+
+// TestOffersNameTheProcess guards against offers that holders cannot tell from those of the next
+// process of their host.
+func TestOffersNameTheProcess(t *testing.T) {
+	b := newOriginBed(t)
+	offered := offers(b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second}))
+	require.Len(t, offered, 1)
+	assert.Equal(t, b.router.Self.Incarnation, offered[0].Incarnation)
+}
+
+// TestPeerNotReachedBeforeItsClockWasSetBackIsEchoed guards against a restarted host that is not
+// reachable until its clock has passed the last time of its former process.
+func TestPeerNotReachedBeforeItsClockWasSetBackIsEchoed(t *testing.T) {
+	b := newOriginBed(t)
+	m := Member{Name: "n", Zone: "north", Address: "10.0.0.9:1", Incarnation: 5, Slot: 9}
+	for _, sent := range []time.Time{b.now, b.now.Add(-3 * time.Second)} {
+		b.step(Receive{From: m.Address, Message: Message{Heartbeat: &Heartbeat{Member: m, Sent: sent.UnixNano()}}})
+		assert.Equal(t, sent.UnixNano(), b.router.peers[m.Address].lastPeerTimestamp)
+		m.Incarnation++
+	}
+}
