internal/router: a job that is submitted again after its host's clock was set back runs

What callers saw: a client whose host had restarted submitted its job again through that host and was told "unknown" at once, each time, and the job did not run before its holder had forgotten it (5 s, or the client's whole time).

Cause: a holder takes an offer with a lower submission ID than the known one of the same host for a late copy of an earlier submission. The ID is the time of arrival on the host's clock, which had been set back before the restart.

Evidence: without the fix TestResubmittedJobRunsAfterClockWasSetBack fails: the verdict is {Outcome:"unknown", Reason:"unheld"}, and nothing starts.

When a host is known to have restarted, the submissions of its former process are listed as earlier ones by their exact IDs, so that the order of the IDs counts within a process only. Late copies from the former process are dropped by their incarnation, or found in that list.

--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -215,6 +215,7 @@
 		r.recordHostLoss(p)
 		r.emit(Decision{Action: "peer", Pairs: []any{"peer", m.Name, "state", "restarted"}})
 		r.endJobsOfOrigin(p.member.Address)
+		r.retireSubmissions(p.member.Address)
 		*p = peer{lastHeartbeatReceivedAt: r.now, dialled: p.dialled}
 	}
 	p.member = m
@@ -222,6 +223,17 @@
 	return p
 }
 
+// retireSubmissions makes the submissions of a host's former process count as earlier ones. Those of
+// its present process may have lower IDs, since the clock may have been set back.
+func (r *Router) retireSubmissions(origin string) {
+	for _, j := range r.jobs {
+		if j.origin == origin && j.submissionID != 0 {
+			j.earlierSubmissions = append(j.earlierSubmissions, submission{origin, j.submissionID})
+			j.submissionID = 0
+		}
+	}
+}
+
 // handlePeerReachable records that messages pass in both directions and sends the peer
 // the state that it lacks.
 func (r *Router) handlePeerReachable(p *peer) {
--- a/internal/router/set_back_test.go
+++ b/internal/router/set_back_test.go
@@ -52,3 +52,38 @@
 		m.Incarnation++
 	}
 }
+
+// TestResubmittedJobRunsAfterClockWasSetBack guards against a job that is answered as unknown,
+// and does not run, each time its client submits it again: the submissions of the host's next process
+// have lower IDs than that of its former process.
+func TestResubmittedJobRunsAfterClockWasSetBack(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	origin := Member{Name: "n", Zone: "north", Address: "10.0.0.9:1", Incarnation: 5, Slot: 9}
+	b.receiveHeartbeatOf(origin, b.now)
+	first := Offer{
+		Job: twoTaskJob("j"), TimeLeft: 5 * time.Second, SubmissionID: b.now.UnixNano(), Token: b.router.cells["north"].claim.Token, Incarnation: origin.Incarnation,
+	}
+	starts := effectsOf[Start](b.step(Receive{From: origin.Address, Message: Message{Offer: &first}}))
+	require.Len(t, starts, 2)
+	for _, start := range starts {
+		b.step(StartAnswered{Target: start.Target.ID, Task: start.Task, Run: start.Run, Result: Running})
+	}
+	origin.Incarnation++
+	b.now = b.now.Add(10 * time.Millisecond)
+	stops := effectsOf[Stop](b.receiveHeartbeatOf(origin, b.now.Add(-3*time.Second)))
+	require.Len(t, stops, 2)
+	b.now = b.now.Add(10 * time.Millisecond)
+	for i, stop := range stops {
+		b.step(StopAnswered{Target: stop.Target.ID, Task: stop.Task, Run: stop.Run, Acknowledged: true})
+		b.step(RenewAnswered{
+			Target: stop.Target.ID, Token: first.Token, SentAt: b.now, Result: Running, Clock: Reading{Millis: b.now.UnixMilli() - testEpoch*1000, At: b.now},
+			Ended: []End{{Number: i + 1, Task: stop.Task, Run: stop.Run, Reason: EndStopped}},
+		})
+	}
+	b.receiveHeartbeatOf(origin, b.now.Add(-3*time.Second))
+	again := first
+	again.SubmissionID, again.Incarnation = b.now.Add(-3*time.Second).UnixNano(), origin.Incarnation
+	effects := b.step(Receive{From: origin.Address, Message: Message{Offer: &again}})
+	assert.Nil(t, verdictTo(origin.Address, effects))
+	assert.Len(t, effectsOf[Start](effects), 2)
+}
