--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -71,6 +71,12 @@
 	return o.SubmissionID != 0 && o.sentAt() < p.lastPeerTimestamp
 }
 
+// isFromFormerProcess reports whether an offer was sent by a former process of the peer's host. The times
+// in it do not tell, since the clock may have been set back before the present process started.
+func (p *peer) isFromFormerProcess(o *Offer) bool {
+	return o.Incarnation != 0 && o.Incarnation < p.member.Incarnation
+}
+
 // mayRunJobsOf reports whether the jobs of the peer's clients may continue to run here.
 func (r *Router) mayRunJobsOf(p *peer) bool {
 	return !p.lastEchoedAt.IsZero() && r.now.Sub(p.lastEchoedAt) <= r.Bounds.OriginTimeout
@@ -131,6 +137,8 @@
 		return // no peer is known at this address
 	}
 	switch m := e.Message; {
+	case m.Offer != nil && p.isFromFormerProcess(m.Offer):
+		r.emit(Decision{Action: "overtaken", Job: m.Offer.Job.ID, Routine: true, Pairs: []any{"origin", e.From, "offered", m.Offer.Token, "process", m.Offer.Incarnation}})
 	case m.Offer != nil:
 		r.handleOffer(p, m.Offer)
 	case m.Withdraw != nil:
@@ -203,11 +211,13 @@
 	}
 	if m.Incarnation > p.member.Incarnation {
 		r.recordHolderRestart(p.member.Address)
+		p.lastPeerTimestamp = 0 // the clock may have been set back
 	}
 	if m.Incarnation > p.member.Incarnation && p.hasBeenReachable {
 		r.recordHostLoss(p)
 		r.emit(Decision{Action: "peer", Pairs: []any{"peer", m.Name, "state", "restarted"}})
 		r.endJobsOfOrigin(p.member.Address)
+		r.retireSubmissions(p.member.Address)
 		*p = peer{lastHeartbeatReceivedAt: r.now, dialled: p.dialled}
 	}
 	p.member = m
@@ -215,6 +225,35 @@
 	return p
 }
 
+// raiseIncarnation gives this process a higher incarnation. Peers that know the lower one take it for
+// a restart and end the jobs that they were offered, so these are offered again.
+func (r *Router) raiseIncarnation(incarnation int64) {
+	if incarnation <= r.Self.Incarnation {
+		return
+	}
+	r.emit(Decision{Action: "incarnation", Pairs: []any{"before", r.Self.Incarnation, "incarnation", incarnation}})
+	r.Self.Incarnation = incarnation
+	for _, p := range r.peers {
+		p.claimsSentAt = time.Time{} // the next heartbeat names this process in full
+	}
+	for _, q := range r.requestsByJob {
+		if q.holder != "" && q.holder != r.Self.Address {
+			r.recordHolderChange(q)
+		}
+	}
+}
+
+// retireSubmissions makes the submissions of a host's former process count as earlier ones. Those of
+// its present process may have lower IDs, since the clock may have been set back.
+func (r *Router) retireSubmissions(origin string) {
+	for _, j := range r.jobs {
+		if j.origin == origin && j.submissionID != 0 {
+			j.earlierSubmissions = append(j.earlierSubmissions, submission{origin, j.submissionID})
+			j.submissionID = 0
+		}
+	}
+}
+
 // handlePeerReachable records that messages pass in both directions and sends the peer
 // the state that it lacks.
 func (r *Router) handlePeerReachable(p *peer) {
