internal/router: a later submission does not shorten the memory of an earlier one

What callers could see: a client is told 503 by one host for a submission that has run. A job is submitted through host A with 20 s left and starts; A is paused, its holder ends the job and would remember it for these 20 s. The client submits it through B with 50 ms left, which is answered as one that may have run. The entry of B's submission replaces that of A's and is forgotten 5 s later. A continues, offers its submission again under the same claim, and is told that it was refused.

Cause: the memory that has to outlast one submission had the life of another.

Without the fix TestLaterSubmissionDoesNotShortenMemoryOfEarlierOne fails: expected "unknown", actual "refused". A job that replaces one of an earlier submission is now retained for as long as that one.

--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -67,6 +67,7 @@
 		return
 	}
 	j.mayHaveStartedEarlier = earlier.mayHaveStarted || earlier.mayHaveStartedEarlier
+	j.retainedUntil = earlier.retainedUntil
 	j.earlierSubmissions = slices.Clone(earlier.earlierSubmissions)
 	isOpen := earlier.verdict.Outcome == WrongHolder || earlier.verdict.Outcome == Returned // its host offers it again
 	if s := (submission{earlier.origin, earlier.submissionID}); !isOpen && s != (submission{j.origin, j.submissionID}) {
--- a/internal/router/retention.go
+++ b/internal/router/retention.go
@@ -6,9 +6,10 @@
 )
 
 // retainJob retains an ended job for Bounds.VerdictRetention, and until its host has answered the
-// client: until then, the host may offer it again.
+// client: until then, the host may offer it again. A job that has replaced one of an earlier
+// submission is retained for as long as that one.
 func (r *Router) retainJob(j *job) {
-	j.retainedUntil = later(r.now.Add(r.Bounds.VerdictRetention), j.deadline.Add(answerGrace))
+	j.retainedUntil = later(j.retainedUntil, later(r.now.Add(r.Bounds.VerdictRetention), j.deadline.Add(answerGrace)))
 	i, _ := slices.BinarySearchFunc(r.endedJobs, j.retainedUntil, func(other *job, until time.Time) int {
 		if other.retainedUntil.After(until) {
 			return 1
--- a/internal/router/retention_test.go
+++ b/internal/router/retention_test.go
@@ -31,3 +31,29 @@
 	require.Len(t, verdicts, 1)
 	assert.Equal(t, Unknown, verdicts[0].Outcome)
 }
+
+// TestLaterSubmissionDoesNotShortenMemoryOfEarlierOne guards against a refusal as not run of a
+// submission that was started, forgotten with a later submission that had less time.
+func TestLaterSubmissionDoesNotShortenMemoryOfEarlierOne(t *testing.T) {
+	const paused, other = "10.0.0.9:1", "10.0.0.8:1"
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(paused)
+	token := b.router.cells["north"].claim.Token
+	first := Offer{Job: twoTaskJob("j"), TimeLeft: 20 * time.Second, SubmissionID: 7, Token: token}
+	sent := first
+	require.Len(t, effectsOf[Start](b.step(Receive{From: paused, Message: Message{Offer: &sent}})), 2)
+
+	b.advance(b.router.Bounds.OriginTimeout + 2*b.router.Bounds.TickInterval)
+	require.Equal(t, Unknown, b.router.jobs["j"].verdict.Outcome, "its host is silent")
+	b.receiveHeartbeatFrom(other)
+	second := Offer{Job: twoTaskJob("j"), TimeLeft: 50 * time.Millisecond, SubmissionID: 8, Token: token}
+	b.step(Receive{From: other, Message: Message{Offer: &second}})
+	b.advance(b.router.Bounds.VerdictRetention + time.Second)
+
+	b.receiveHeartbeatFrom(paused)
+	first.TimeLeft, first.Elapsed = 12*time.Second, 8*time.Second
+	first.Job.Stretch = 1.1
+	verdict := verdictTo(paused, b.step(Receive{From: paused, Message: Message{Offer: &first}}))
+	require.NotNil(t, verdict)
+	assert.Equal(t, Unknown, verdict.Outcome)
+}
