internal/router: an offer that arrives after its deadline is not refused as not run

What callers could see: 503 for a job that has run, 50 to 70 ms after their time is over. A holder retains an ended job until its deadline and answerGrace, but the job's host answers at its next tick after that, up to 20 ms later, and messages take time. If a link opens in between, the job is offered again to a holder that has forgotten it.

A first offer has time left, so one without is a repeat. Its holder now takes it for a job that may have started.

Without the fix TestStartedJobIsNotRefusedAfterItsDeadline fails: should not be "refused", 57ms after the deadline.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -162,6 +162,9 @@
 	if c := r.cells[j.zone]; o.Token == 0 && j.arrivedAt.Before(c.acquiredAt) {
 		r.assumeEarlierHolder(j)
 	}
+	if o.TimeLeft <= 0 { // a repeated offer of a job that may be forgotten here
+		j.mayHaveStartedEarlier = true
+	}
 	j.likelyRetry = r.isLikelyRetry(j)
 	if v, refused := r.admit(j); refused {
 		v.Outcome = j.reportableOutcome(v.Outcome)
--- a/internal/router/retention_test.go
+++ b/internal/router/retention_test.go
@@ -57,3 +57,24 @@
 	require.NotNil(t, verdict)
 	assert.Equal(t, Unknown, verdict.Outcome)
 }
+
+// TestStartedJobIsNotRefusedAfterItsDeadline guards against a refusal as not run of a job that the
+// holder had started, offered again between its deadline and the answer.
+func TestStartedJobIsNotRefusedAfterItsDeadline(t *testing.T) {
+	const origin = "10.0.0.9:1"
+	const transit = 3 * time.Millisecond
+	b := newHolderBed(t, 1, ClaimWon)
+	b.receiveHeartbeatFrom(origin)
+	offer := Offer{Job: twoTaskJob("j"), TimeLeft: 6 * time.Second, SubmissionID: 7, Token: b.router.cells["north"].claim.Token}
+	sent := offer
+	require.Len(t, effectsOf[Start](b.step(Receive{From: origin, Message: Message{Offer: &sent}})), 2)
+	start := b.now
+	b.advance(offer.TimeLeft + answerGrace)
+	b.receiveHeartbeatFrom(origin)
+	offer.Elapsed = b.now.Sub(start) - transit
+	offer.TimeLeft -= offer.Elapsed
+	require.Less(t, -offer.TimeLeft, answerGrace+b.router.Bounds.TickInterval, "its host answers at the next tick")
+	verdict := verdictTo(origin, b.step(Receive{From: origin, Message: Message{Offer: &offer}}))
+	require.NotNil(t, verdict)
+	assert.NotEqual(t, Refused, verdict.Outcome, "%v after the deadline", -offer.TimeLeft)
+}
