internal/router: a holder takes jobs only of hosts that have answered it lately

What callers could see, where each zone has a holder of its own: a job ran after its client had been told 503, and a task ran twice at a time.

Cause: a holder drops the jobs of a host that has been silent for OriginTimeout (0.5 s), but accepted offers of any host that counts as reachable. A host of another zone is monitored only while it has requests here, and counts as reachable for 1.5 s for each known host after that, which is 18 s with 12. So an offer could be accepted of a host that was cut off or paused long ago:

- A copy of an offer waits in the socket of a holder that is paused for longer than it remembers the refusal.
It is read before any later heartbeat and starts the job that was refused.
- A job is offered through a holder that named this zone, just before its host's zone is cut off.
The host had been given up (jobsAllowed) when its first heartbeat came with an old echo, so its jobs were not ended again.
The client submitted the job again elsewhere, was refused there while the first run went on, and its next submission ran beside it.

Class of fault: two bounds for one question, whether a host is there, of which the weaker admits and the stricter ends.

An offer is accepted only while the host's jobs may run here. While each echo is younger than 0.5 s nothing changes; a host that comes back is told "elsewhere" until it has answered a heartbeat, and offers again.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -126,7 +126,8 @@
 	}
 	r.mergeCrashes(o.Crashes)
 	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
-	stale := p != nil && !r.isReachable(p) // the offer may have been in transit since the connection was cut
+	// The offer may have been in transit since the connection was cut.
+	stale := p != nil && !(r.isReachable(p) && r.mayRunJobsOf(p))
 	if c == nil || !c.heldHere || stale || !c.isOfferCurrent(o) {
 		token, held := uint64(0), false
 		if c != nil {
--- a/internal/router/late_copy_test.go
+++ b/internal/router/late_copy_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -88,3 +89,35 @@
 	require.NotNil(t, verdictTo(origin, effects))
 	assert.NotContains(t, b.router.cells, "nowhere")
 }
+
+// TestCopyFromSilentHostOfOtherZoneDoesNotStart guards against a start of a job whose client was told
+// that it is refused, by a copy that a host of another zone sent before it was paused.
+func TestCopyFromSilentHostOfOtherZoneDoesNotStart(t *testing.T) {
+	for _, zone := range []string{"north", "south"} {
+		b := newHolderBed(t, 1, ClaimWon)
+		b.router.Bounds.MaxSharedTargets = 0 // a holder for each zone
+		b.router.totalTargets = 1
+		for i := range 12 {
+			b.receiveHeartbeatFrom(fmt.Sprintf("10.0.1.%d:1", i))
+		}
+		b.advance(b.router.Bounds.HeartbeatInterval)
+		origin := Member{Name: "o", Zone: zone, Address: "10.0.0.9:1", Incarnation: 5, Slot: 10}
+		heartbeat := Heartbeat{Member: origin, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), WantsHeartbeats: true}
+		b.step(Receive{From: origin.Address, Message: Message{Heartbeat: &heartbeat}})
+		require.True(t, b.router.holderPerZone)
+		b.evacuate(5, "north")
+		offer := Offer{Job: twoTaskJob("j"), TimeLeft: time.Second, Elapsed: time.Millisecond, SubmissionID: b.now.UnixNano(), Zone: "north", Token: b.router.cells["north"].claim.Token}
+		first := offer
+		verdict := verdictTo(origin.Address, b.step(Receive{From: origin.Address, Message: Message{Offer: &first}}))
+		require.NotNil(t, verdict)
+		require.Equal(t, Refused, verdict.Outcome)
+
+		b.evacuate(6)
+		for end := b.now.Add(b.router.Bounds.VerdictRetention + time.Second); b.now.Before(end); {
+			for _, renew := range effectsOf[Renew](b.advance(b.router.Bounds.TickInterval)) {
+				b.answerRenewal(renew)
+			}
+		}
+		assert.Empty(t, effectsOf[Start](b.step(Receive{From: origin.Address, Message: Message{Offer: &offer}})), "host of zone %s", zone)
+	}
+}
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -263,3 +264,36 @@
 	assert.Empty(t, effectsOf[Start](b.step(Tick{})))
 	assert.Equal(t, token, b.router.jobs["j"].token)
 }
+
+// TestJobOfSilentHostOfOtherZoneEnds guards against a second run of a job that a holder of another zone
+// goes on with after its host has fallen silent and the client has submitted it again elsewhere.
+func TestJobOfSilentHostOfOtherZoneEnds(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	b.router.Bounds.MaxSharedTargets = 0 // a holder for each zone
+	b.router.totalTargets = 1
+	for i := range 12 {
+		b.receiveHeartbeatFrom(fmt.Sprintf("10.0.1.%d:1", i))
+	}
+	b.advance(b.router.Bounds.HeartbeatInterval)
+	require.True(t, b.router.holderPerZone)
+	origin := Member{Name: "o", Zone: "south", Address: "10.0.0.9:1", Incarnation: 5, Slot: 10}
+	heartbeat := Heartbeat{Member: origin, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), WantsHeartbeats: true}
+	b.step(Receive{From: origin.Address, Message: Message{Heartbeat: &heartbeat}})
+	for end := b.now.Add(2 * time.Second); b.now.Before(end); { // it does not need this host's heartbeats
+		for _, renew := range effectsOf[Renew](b.advance(b.router.Bounds.TickInterval)) {
+			b.answerRenewal(renew)
+		}
+	}
+
+	again := heartbeat // with the last time of this host's clock that it has received
+	again.Sent = b.now.UnixNano()
+	b.step(Receive{From: origin.Address, Message: Message{Heartbeat: &again}})
+	b.advance(b.router.Bounds.TickInterval)
+	offer := &Offer{Job: twoTaskJob("j"), TimeLeft: 9 * time.Second, SubmissionID: b.now.UnixNano(), Zone: "north", Token: b.router.cells["north"].claim.Token}
+	starts := effectsOf[Start](b.step(Receive{From: origin.Address, Message: Message{Offer: offer}}))
+	for _, s := range starts {
+		b.step(StartAnswered{Target: s.Target.ID, Task: s.Task, Run: s.Run, Result: Running})
+	}
+	effects := b.advance(b.router.Bounds.OriginTimeout + 2*b.router.Bounds.TickInterval)
+	assert.Len(t, effectsOf[Stop](effects), len(starts))
+}
