internal/modeler: suspensions, silent connections, rolls, late renewals and refusals together

- mute-all: the open connections of all hosts go silent at one moment, those to targets and the store as well, until a call on each has timed out; either nothing arrives over them, or only the answers are lost
- kill-some (half of the hosts at once), roll (all hosts shut down one after the other), throttle (a host's core stops for a part of each tenth of a second)
- LateRenewals: renewals are executed late, too, not only starts and stops
- a patient client disconnects from a paused host that hasn't answered in time, and sends its job to another

A client that is told to retry after its time is over gives up.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -168,14 +168,30 @@
 	remaining := min(c.timeout, c.timeLeft())
 	requestID, sentAt := c.requestID, sim.now
 	h.schedule(clientDelay, func() { h.step(router.Submit{Request: requestID, Job: c.job, Budget: remaining}) })
+	if sim.Patience > 0 {
+		sim.schedule(remaining+answerGrace, func() { c.giveUp(h, requestID, sentAt) })
+	}
 	sim.schedule(remaining+time.Second, func() {
-		if !c.ended && c.host == h && c.requestID == requestID && h.up && !h.paused && h.lag == 0 && h.resumedAt.Before(sentAt) {
+		if !c.ended && c.host == h && c.requestID == requestID && h.runsSince(sentAt) {
 			sim.recordViolation("no answer to job %s from host %s %v after the client's timeout", c.id, h.name, time.Second)
 			c.ended = true
 		}
 	})
 }
 
+// giveUp makes a patient client disconnect from a host that has not answered because it was paused, and
+// resend the job.
+func (c *client) giveUp(h *host, requestID uint64, sentAt time.Time) {
+	if c.ended || c.host != h || c.requestID != requestID || h.runsSince(sentAt) {
+		return
+	}
+	h.schedule(clientDelay, func() { h.step(router.ClientGone{Request: requestID}) })
+	c.scheduleResend()
+}
+
+// answerGrace is how long after its timeout a client still accepts an answer.
+const answerGrace = 200 * time.Millisecond
+
 // clientDelay is the one-way network delay between a client and a host.
 const clientDelay = time.Millisecond
 
@@ -248,7 +264,7 @@
 		if sm.startCounts[c.id] > 0 && !c.mayHaveRun {
 			sm.recordViolation("job %s was refused as not run (reason %s), but %d of its runs had been started", c.id, e.Verdict.Reason, sm.startCounts[c.id])
 		}
-		if sm.RetryRefusedJobs && !c.retriedAfterRefusal {
+		if sm.RetryRefusedJobs && !c.retriedAfterRefusal && e.Verdict.RetryAfter+clientDelay < c.timeLeft() {
 			c.retryAfterRefusal(e.Verdict.RetryAfter)
 			return
 		}
--- a/internal/modeler/disruption.go
+++ b/internal/modeler/disruption.go
@@ -4,17 +4,21 @@
 
 // The kinds of fault of connections, of slow processes and of crashes in series. Fault.Selector
 // says what they affect, as for the other kinds; for CrashHost, "zone" selects all hosts of a
-// random zone. ResizeTarget affects a random TargetShare of the targets, and CrashTargets that
+// random zone. For RollHosts, Duration is the time between two hosts. ResizeTarget affects a random TargetShare of the targets, and CrashTargets that
 // share of them each second.
 const (
 	SuspendHost  FaultKind = "suspend"       // as PauseHost, and the host accepts no links until it continues
 	ReplaceLinks FaultKind = "replace-links" // links of a host are replaced, and messages on the old ones arrive late
 	MuteLinks    FaultKind = "mute-links"    // links of a host lose all messages until they are replaced
+	MuteAll      FaultKind = "mute-all"      // the connections of all hosts, also to targets and the store, lose all messages until they are replaced
 	CutOneWay    FaultKind = "cut-one-way"   // messages pass in one direction only between a host and others
 	CutStores    FaultKind = "cut-stores"    // a random half of the hosts and the store cannot reach each other
+	KillSome     FaultKind = "kill-some"     // the processes of a random half of the hosts end at once and start again
+	RollHosts    FaultKind = "roll"          // the hosts shut down gracefully and start again, one after the other
 	CrashHost    FaultKind = "crash-loop"    // the process of a host ends and is back at once, several times
 	ShiftClock   FaultKind = "shift-clock"   // the process of a host ends and starts again with its clock set back or ahead
 	SlowHost     FaultKind = "slow-host"     // a host handles each event late
+	ThrottleHost FaultKind = "throttle"      // a host handles events in the first part of each tenth of a second only
 	CrashTargets FaultKind = "crash-targets" // targets end and start again empty, one after the other
 	ResizeTarget FaultKind = "resize-target" // a target has half its capacity
 )
@@ -28,6 +32,8 @@
 	// maxCrashInterval the time that it then runs in a series of crashes.
 	minCrashPause, maxCrashPause = 100 * time.Millisecond, 500 * time.Millisecond
 	maxCrashInterval             = 1500 * time.Millisecond
+	// throttlePeriod is the time in which a throttled host may use its share of a core.
+	throttlePeriod = 100 * time.Millisecond
 	// minTargetPause and maxTargetPause bound the time in which a crashed target is back.
 	minTargetPause, maxTargetPause = 100 * time.Millisecond, 3 * time.Second
 )
@@ -44,6 +50,8 @@
 		sm.replaceLinks(f, sm.pickHost(f.Selector))
 	case MuteLinks:
 		sm.muteLinks(f, sm.pickHost(f.Selector))
+	case MuteAll:
+		sm.muteAll(f)
 	case CutOneWay:
 		sm.cutOneWay(f, sm.pickHost(f.Selector))
 	case CutStores:
@@ -52,6 +60,28 @@
 				sm.partition(h.name, "store", f.Duration)
 			}
 		}
+	case SlowHost:
+		sm.pickHost(f.Selector).slowDown(f.Duration)
+	case ThrottleHost:
+		h := sm.pickHost(f.Selector)
+		sm.disturb(h.name, f.Duration)
+		h.throttle(h.incarnation, sm.now.Add(f.Duration))
+	case CrashTargets:
+		sm.crashTargets(f, sm.now.Add(f.Duration))
+	case ResizeTarget:
+		for _, id := range sm.targetIDs {
+			if sm.random.Float64() < f.TargetShare {
+				sm.targets[id].resize(f.Duration)
+			}
+		}
+	default:
+		sm.injectHostEnd(f)
+	}
+}
+
+// injectHostEnd injects a fault in which processes of hosts end and start again.
+func (sm *Simulation) injectHostEnd(f Fault) {
+	switch f.Kind {
 	case CrashHost:
 		hosts := []*host{sm.pickHost(f.Selector)}
 		if f.Selector == "zone" {
@@ -65,16 +95,16 @@
 		h.kill()
 		h.nextClockError += f.ClockShift
 		sm.schedule(f.Duration, h.startProcess)
-	case SlowHost:
-		sm.pickHost(f.Selector).slowDown(f.Duration)
-	case CrashTargets:
-		sm.crashTargets(f, sm.now.Add(f.Duration))
-	case ResizeTarget:
-		for _, id := range sm.targetIDs {
-			if sm.random.Float64() < f.TargetShare {
-				sm.targets[id].resize(f.Duration)
+	case KillSome:
+		for _, h := range sm.hosts {
+			if sm.random.IntN(2) == 0 {
+				sm.injectHostFault(Fault{Kind: KillHost, Duration: f.Duration}, h)
 			}
 		}
+	case RollHosts:
+		for i, h := range sm.hosts {
+			sm.schedule(time.Duration(i)*f.Duration, func() { sm.injectHostFault(Fault{Kind: RestartHost}, h) })
+		}
 	}
 }
 
@@ -157,6 +187,21 @@
 	}
 }
 
+// throttle pauses the process for the last part of each tenth of a second until the end.
+func (h *host) throttle(incarnation int, end time.Time) {
+	sim := h.sim
+	if h.incarnation != incarnation || !h.up || h.paused || !sim.now.Before(end) {
+		return
+	}
+	run := sim.drawDuration(throttlePeriod/10, throttlePeriod)
+	sim.schedule(run, func() {
+		if h.incarnation == incarnation && !h.paused {
+			sim.injectHostFault(Fault{Kind: PauseHost, Duration: throttlePeriod - run}, h)
+		}
+	})
+	sim.schedule(throttlePeriod+time.Millisecond, func() { h.throttle(incarnation, end) })
+}
+
 // crash ends the process, which starts again at once, and repeats this until the end.
 func (h *host) crash(end time.Time) {
 	sim := h.sim
--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -39,7 +39,7 @@
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, EvacuateZone, KillAllHosts, Burst,
-		SuspendHost, ReplaceLinks, MuteLinks, CutOneWay, CutStores, CrashHost, ShiftClock, SlowHost, CrashTargets, ResizeTarget,
+		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget,
 	}
 }
 
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -34,6 +34,7 @@
 	// muted whether that link loses all messages.
 	heldUntil    map[string]time.Time
 	muted        map[string]bool
+	silent       silence       // towards targets and the store
 	lag          time.Duration // how late the process handles events; see slowDown
 	handledUntil time.Time     // when the last event that is handled late is handled
 	sentMessages int           // number of messages to other hosts
@@ -48,7 +49,7 @@
 	h.up, h.paused, h.suspended, h.leaving, h.deferred, h.startedAt = true, false, false, false, nil, h.sim.now
 	h.links, h.deliveredAt = make(map[string]bool), make(map[string]time.Time)
 	h.heldUntil, h.muted = make(map[string]time.Time), make(map[string]bool)
-	h.lag, h.handledUntil = 0, time.Time{}
+	h.lag, h.handledUntil, h.silent = 0, time.Time{}, silence{}
 	h.clockError = h.nextClockError
 	h.router = &router.Router{
 		Policy: h.sim.Policy,
@@ -63,6 +64,11 @@
 // clock returns the time on the clock of the process.
 func (h *host) clock() time.Time { return h.sim.now.Add(h.clockError) }
 
+// runsSince reports whether the process runs normally and was not paused since a moment.
+func (h *host) runsSince(at time.Time) bool {
+	return h.up && !h.paused && h.lag == 0 && h.resumedAt.Before(at)
+}
+
 // kill ends the process immediately, as a crash does.
 func (h *host) kill() {
 	h.up, h.paused, h.deferred = false, false, nil
--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -50,6 +50,10 @@
 	if s.unavailable || !sim.canReach(h.name, h.zone, "store", "store") {
 		return false
 	}
+	if h.silent.store > 0 {
+		h.silent.store--
+		return false
+	}
 	sim.schedule(s.latency, operation)
 	return true
 }
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -280,16 +280,12 @@
 	if t == nil || !sm.canReach(h.name, h.zone, t.entry.ID, t.entry.Zone) {
 		return
 	}
-	delay := sm.delay(h.zone, t.entry.Zone)
-	if sm.random.Float64() < sm.LateOrderShare {
-		incarnation := t.incarnation
-		sm.schedule(delay+time.Duration(2+sm.random.IntN(10))*time.Second, func() {
-			if t.up && t.incarnation == incarnation {
-				sm.executesLate = true
-				handlerOf(t)()
-				sm.executesLate = false
-			}
-		})
+	delay, sentAt := sm.delay(h.zone, t.entry.Zone), sm.now
+	silent := h.takeSilentConnection(to.ID)
+	if silent && !h.silent.answersOnly {
+		return
+	}
+	if sm.executeLate(t, delay, func() { handlerOf(t)() }) {
 		return
 	}
 	sm.schedule(delay, func() {
@@ -299,12 +295,29 @@
 		}
 		result := handlerOf(t)()
 		millis := t.clock()
-		if sm.canReach(t.entry.ID, t.entry.Zone, h.name, h.zone) && !sm.dropsAnswer() {
+		if sm.canReach(t.entry.ID, t.entry.Zone, h.name, h.zone) && !sm.dropsAnswer() && !silent && !h.isMuted(sentAt) {
 			h.schedule(delay, func() { answer(result, router.Reading{Millis: millis, At: h.clock()}) })
 		}
 	})
 }
 
+// executeLate draws whether a target executes a call some seconds late and does not answer it. The
+// call is lost if the target's process has ended by then.
+func (sm *Simulation) executeLate(t *target, delay time.Duration, execute func()) bool {
+	if sm.random.Float64() >= sm.LateOrderShare {
+		return false
+	}
+	incarnation := t.incarnation
+	sm.schedule(delay+time.Duration(2+sm.random.IntN(10))*time.Second, func() {
+		if t.up && t.incarnation == incarnation {
+			sm.executesLate = true
+			execute()
+			sm.executesLate = false
+		}
+	})
+	return true
+}
+
 // dropsAnswer draws whether the answer to an order or a renewal is lost.
 func (sm *Simulation) dropsAnswer() bool {
 	return sm.LostAnswerShare > 0 && sm.random.Float64() < sm.LostAnswerShare
@@ -327,12 +340,22 @@
 	if t == nil || !sm.canReach(h.name, h.zone, t.entry.ID, t.entry.Zone) {
 		return
 	}
-	delay := sm.delay(h.zone, t.entry.Zone)
+	delay, realSentAt := sm.delay(h.zone, t.entry.Zone), sm.now
+	silent := h.takeSilentConnection(e.Target.ID)
+	if silent && !h.silent.answersOnly {
+		return
+	}
+	if sm.LateRenewals && sm.executeLate(t, delay, func() { t.renewUnanswered(e) }) {
+		return
+	}
 	sm.schedule(delay, func() {
 		if !t.up {
 			return
 		}
 		if !t.acceptToken(e.Token) {
+			if silent || h.isMuted(realSentAt) {
+				return
+			}
 			h.schedule(delay, func() {
 				answer(router.RenewAnswered{Target: e.Target.ID, Token: e.Token, SentAt: sentAt, Poll: e.Poll, Result: router.Fenced})
 			})
@@ -340,7 +363,7 @@
 		}
 		t.extendLease(e.LeaseEnd)
 		reply := func() {
-			if !sm.canReach(t.entry.ID, t.entry.Zone, h.name, h.zone) || sm.dropsAnswer() {
+			if !sm.canReach(t.entry.ID, t.entry.Zone, h.name, h.zone) || sm.dropsAnswer() || silent || h.isMuted(realSentAt) {
 				return
 			}
 			event := t.renewalAnswer(e, sentAt)
@@ -354,6 +377,14 @@
 	})
 }
 
+// renewUnanswered executes a renewal whose answer nobody receives.
+func (t *target) renewUnanswered(e router.Renew) {
+	if t.acceptToken(e.Token) {
+		t.extendLease(e.LeaseEnd)
+		t.renewalAnswer(e, time.Time{})
+	}
+}
+
 // answerRenewal answers a renewal immediately if it does not wait or if there are ends to
 // report, otherwise at the next end of a run or when its waiting time is over.
 func (t *target) answerRenewal(e router.Renew, reply func()) {
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -48,6 +48,8 @@
 	Policy router.Policy
 	// LateOrderShare is the share of orders that targets execute 2 to 11 s late and do not answer.
 	LateOrderShare float64
+	// LateRenewals makes targets execute that share of the renewals late, too.
+	LateRenewals bool
 	// RetryRefusedJobs makes each client retry its job once if it is refused, after the delay in
 	// the answer.
 	RetryRefusedJobs bool
