internal/router: a host whose clock was set back rejoins while the store is down

What callers saw: while the store does not answer, the peers of a host that has restarted with its clock set back ignore it, for up to 15 s. Its clients' jobs are refused, as it reaches no holder.

Cause: the host learns of the incarnation of its former process from its row in the store only.

A host that receives a heartbeat of a lower incarnation than it knows says so in its next heartbeat to that peer (an optional field; otherwise nothing is sent). The peer takes the next higher one. Late heartbeats of a former process have no effect: the answer names the incarnation that the present process has.

A process that is not registered may so take an incarnation which is not in the store. Therefore a registered one is at least 1 s above that of the row, and two processes never share one.

--- a/internal/modeler/clock_test.go
+++ b/internal/modeler/clock_test.go
@@ -13,10 +13,25 @@
 // and they claim the same cells in turn.
 func TestHostWhoseClockWasSetBackRejoins(t *testing.T) {
 	t.Parallel()
+	checkShiftedClocks(t)
+}
+
+// TestHostWhoseClockWasSetBackRejoinsWithoutStore guards against a restarted host that its peers ignore
+// until the store answers.
+func TestHostWhoseClockWasSetBackRejoinsWithoutStore(t *testing.T) {
+	t.Parallel()
+	checkShiftedClocks(t, Fault{Kind: StoreUnavailable, At: 1500 * time.Millisecond, Duration: 6 * time.Second})
+}
+
+// checkShiftedClocks simulates the restart of a host with its clock set back or ahead beside other
+// faults, and checks that it costs little.
+func checkShiftedClocks(t *testing.T, faults ...Fault) {
+	t.Helper()
 	for _, selector := range []string{"holder", "h1-1"} {
 		for _, maxSharedTargets := range []int{6, router.Standard().MaxSharedTargets} { // below 48 targets, one holder per zone
 			for _, shift := range []time.Duration{-8 * time.Second, 8 * time.Second} {
 				sim := testSimulation(0.6, 8*time.Second, Fault{Kind: ShiftClock, Selector: selector, At: 2 * time.Second, Duration: 300 * time.Millisecond, ClockShift: shift})
+				sim.Faults = append(sim.Faults, faults...)
 				sim.Bounds.MaxSharedTargets = maxSharedTargets
 				claims := 0
 				sim.Trace = func(at time.Duration, _ string, e router.Decision) {
--- a/internal/modeler/store.go
+++ b/internal/modeler/store.go
@@ -71,7 +71,7 @@
 			row.member.Slot = len(s.members) + 1
 		}
 		row.registrations++
-		row.member = router.Member{Name: h.name, Zone: h.zone, Address: h.address, Incarnation: max(incarnation, row.member.Incarnation+1), Slot: row.member.Slot}
+		row.member = router.Member{Name: h.name, Zone: h.zone, Address: h.address, Incarnation: max(incarnation, row.member.Incarnation+int64(time.Second)), Slot: row.member.Slot}
 		s.members[h.address] = row
 		registered := router.Registered{Slot: row.member.Slot, SlotUses: row.registrations, Incarnation: row.member.Incarnation}
 		for _, address := range sortedKeys(s.members) {
--- a/internal/registrar/enroller.go
+++ b/internal/registrar/enroller.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -112,12 +113,16 @@
 		return occupation{slotUses: found.SlotUses, incarnation: r.sent}, true // written by a call whose answer was lost
 	}
 	taken.slotUses = found.SlotUses + 1
-	if found.Member.Incarnation < math.MaxInt64 {
-		taken.incarnation = max(self.Incarnation, found.Member.Incarnation+1)
+	if found.Member.Incarnation < math.MaxInt64-incarnationStep {
+		taken.incarnation = max(self.Incarnation, found.Member.Incarnation+incarnationStep)
 	}
 	return taken, true
 }
 
+// incarnationStep is the least difference between the incarnations of two processes that use a
+// slot. Processes that end before they are registered may take those in between.
+const incarnationStep = int64(time.Second)
+
 func (r *registration) writeRow(ctx context.Context, taken occupation, version uint64) error {
 	self := r.registrar.Self
 	self.Slot, self.Incarnation = taken.slot, taken.incarnation
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -130,7 +130,13 @@
 	for i, test := range []struct {
 		startedAt, want int64
 		answersToLose   int
-	}{{startedAt: 100, want: 100}, {startedAt: 50, want: 101}, {startedAt: 101, want: 102}, {startedAt: 60, want: 103, answersToLose: 1}, {startedAt: 200, want: 200}} {
+	}{
+		{startedAt: 100, want: 100},
+		{startedAt: 50, want: 100 + incarnationStep},
+		{startedAt: 100 + incarnationStep, want: 100 + 2*incarnationStep},
+		{startedAt: 60, want: 100 + 3*incarnationStep, answersToLose: 1},
+		{startedAt: 100 + 9*incarnationStep, want: 100 + 9*incarnationStep},
+	} {
 		m.answersToLose = test.answersToLose
 		got := register(t, m, "10.0.0.1:1", test.startedAt)
 		assert.Equal(t, test.want, got.Incarnation)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -99,6 +99,9 @@
 	// Crashes are the recent crashes of targets that a holder knows. They are sent together with
 	// the learned state; hosts of earlier versions neither send nor read them.
 	Crashes []Crash `cbor:"17,keyasint,omitempty"`
+	// ReceiverIncarnation is the incarnation of the receiver as the sender knows it, if the sender
+	// has received heartbeats of a lower one. Most heartbeats leave it out.
+	ReceiverIncarnation int64 `cbor:"18,keyasint,omitempty"`
 	// Routes and Speeds are a holder's learned state. Most heartbeats leave them out.
 	Routes []RouteStats `cbor:"10,keyasint,omitempty"`
 	Speeds []KindSpeed  `cbor:"11,keyasint,omitempty"`
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -177,7 +177,8 @@
 		}
 		r.dial(p)
 		peerHeartbeat := heartbeat
-		peerHeartbeat.Echo, peerHeartbeat.WantsHeartbeats = p.lastPeerTimestamp, r.needsHeartbeatsFrom(p)
+		peerHeartbeat.echoTo(p)
+		peerHeartbeat.WantsHeartbeats = r.needsHeartbeatsFrom(p)
 		if !p.claimsSentAt.After(r.lastSharedChangeAt) || r.now.Sub(p.claimsSentAt) >= claimsInterval {
 			peerHeartbeat.Claims, peerHeartbeat.Evacuations, p.claimsSentAt = claims, r.knownEvacuations(), r.now
 		} else {
@@ -228,7 +229,8 @@
 // address.
 func (r *Router) sendFullHeartbeat(p *peer) {
 	heartbeat := r.newHeartbeat()
-	heartbeat.Echo, heartbeat.WantsHeartbeats = p.lastPeerTimestamp, r.needsHeartbeatsFrom(p)
+	heartbeat.echoTo(p)
+	heartbeat.WantsHeartbeats = r.needsHeartbeatsFrom(p)
 	heartbeat.Claims, heartbeat.Evacuations = r.knownClaims(), r.knownEvacuations()
 	p.claimsSentAt = r.now
 	r.send(p, Message{Heartbeat: &heartbeat})
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"time"
 )
 
@@ -16,6 +17,9 @@
 	lastEchoedAt            time.Time
 	reachableSince          time.Time // since when the peer is reachable without interruption; zero while it is not
 	lastHeartbeatReceivedAt time.Time // when the last heartbeat arrived, or when the peer was added if none has
+	// sendsLowerIncarnation is true if a heartbeat of a lower incarnation than the known one has
+	// arrived since the last heartbeat to the peer.
+	sendsLowerIncarnation bool
 	// leaving is true while the peer shuts down.
 	leaving bool
 	// reachesHolder is true if the peer reaches the holder of its zone's cell.
@@ -162,22 +166,13 @@
 	if heartbeat.Member.Address != "" {
 		p = r.identifyPeer(heartbeat.Member)
 	} else if p != nil && heartbeat.Member.Incarnation != p.member.Incarnation {
+		p.sendsLowerIncarnation = p.sendsLowerIncarnation || heartbeat.Member.Incarnation < p.member.Incarnation
 		return
 	}
 	if p == nil {
 		return
 	}
-	p.lastHeartbeatReceivedAt, p.unresponsiveSince, p.exited = r.now, time.Time{}, false
-	if heartbeat.WantsHeartbeats {
-		p.heartbeatsRequestedAt = r.now
-	}
-	r.updateMonitored(p)
-	p.lastPeerTimestamp = max(p.lastPeerTimestamp, heartbeat.Sent)
-	if echo := time.Unix(0, heartbeat.Echo); heartbeat.Echo != 0 && echo.After(p.lastEchoedAt) && !echo.Before(r.startedAt) && !echo.After(r.now) {
-		p.lastEchoedAt = echo
-	}
-	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
-	p.headroom = maps.Clone(heartbeat.Headroom)
+	r.recordHeartbeat(p, heartbeat)
 	r.generation = max(r.generation, heartbeat.Generation)
 	r.updateTotalTargets(heartbeat.Directory, heartbeat.TargetCount)
 	if heartbeat.Evacuations != nil {
@@ -199,12 +194,35 @@
 	}
 }
 
+// recordHeartbeat records what a heartbeat tells of the peer itself, and of this host as the peer
+// knows it.
+func (r *Router) recordHeartbeat(p *peer, heartbeat *Heartbeat) {
+	p.lastHeartbeatReceivedAt, p.unresponsiveSince, p.exited = r.now, time.Time{}, false
+	if heartbeat.ReceiverIncarnation > r.Self.Incarnation && heartbeat.ReceiverIncarnation < math.MaxInt64 {
+		r.raiseIncarnation(heartbeat.ReceiverIncarnation + 1)
+	}
+	if heartbeat.WantsHeartbeats {
+		p.heartbeatsRequestedAt = r.now
+	}
+	r.updateMonitored(p)
+	p.lastPeerTimestamp = max(p.lastPeerTimestamp, heartbeat.Sent)
+	if echo := time.Unix(0, heartbeat.Echo); heartbeat.Echo != 0 && echo.After(p.lastEchoedAt) && !echo.Before(r.startedAt) && !echo.After(r.now) {
+		p.lastEchoedAt = echo
+	}
+	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
+	p.headroom = maps.Clone(heartbeat.Headroom)
+}
+
 // identifyPeer returns the peer that a heartbeat names, or nil if the heartbeat is from
 // a previous incarnation or from this host's own address. If the peer was reachable and
 // has restarted, its state is reset and its jobs are ended.
 func (r *Router) identifyPeer(m Member) *peer {
 	p := r.addPeer(m)
-	if p == nil || m.Incarnation < p.member.Incarnation {
+	if p == nil {
+		return nil
+	}
+	if m.Incarnation < p.member.Incarnation {
+		p.sendsLowerIncarnation = true
 		return nil
 	}
 	if m.Incarnation > p.member.Incarnation {
@@ -223,6 +241,15 @@
 	return p
 }
 
+// echoTo adds to a heartbeat what tells the peer which of its messages have arrived here, and under
+// which incarnation the peer is known if its messages are ignored because of a lower one.
+func (h *Heartbeat) echoTo(p *peer) {
+	h.Echo = p.lastPeerTimestamp
+	if p.sendsLowerIncarnation {
+		h.ReceiverIncarnation, p.sendsLowerIncarnation = p.member.Incarnation, false
+	}
+}
+
 // raiseIncarnation gives this process a higher incarnation. Peers that know the lower one take it for
 // a restart and end the jobs that they were offered, so these are offered again.
 func (r *Router) raiseIncarnation(incarnation int64) {
--- a/internal/router/set_back_test.go
+++ b/internal/router/set_back_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -111,3 +112,41 @@
 	}
 	assert.Len(t, offers(effects), 1)
 }
+
+// TestRestartedHostLearnsOfHigherIncarnation guards against a host whose heartbeats are ignored, because its
+// clock was set back, and that cannot ask the store.
+func TestRestartedHostLearnsOfHigherIncarnation(t *testing.T) {
+	b := newOriginBed(t)
+	b.peer.Incarnation = 5
+	b.receiveHeartbeat(1)
+	told := func(member Member) []int64 {
+		b.step(Receive{From: b.peer.Address, Message: Message{Heartbeat: &Heartbeat{Member: member, Sent: b.now.UnixNano()}}})
+		var list []int64
+		for range 8 {
+			b.now = b.now.Add(b.router.Bounds.TickInterval)
+			for _, e := range effectsOf[Send](b.step(Tick{})) {
+				if h := e.Message.Heartbeat; h != nil && h.ReceiverIncarnation != 0 {
+					list = append(list, h.ReceiverIncarnation)
+				}
+			}
+		}
+		return list
+	}
+	lower := b.peer
+	lower.Incarnation--
+	for _, member := range []Member{lower, {Incarnation: lower.Incarnation}} {
+		assert.Equal(t, []int64{5}, told(member))
+		assert.Empty(t, told(b.peer))
+	}
+}
+
+// TestIncarnationRisesAboveThatOfFormerProcess checks that a host which hears of a higher incarnation of
+// itself takes one above, and that it does so once.
+func TestIncarnationRisesAboveThatOfFormerProcess(t *testing.T) {
+	b := newOriginBed(t)
+	b.router.Self.Incarnation = 7
+	for _, test := range []struct{ known, want int64 }{{0, 7}, {6, 7}, {7, 7}, {8, 9}, {8, 9}, {math.MaxInt64, 9}} {
+		b.step(Receive{From: b.peer.Address, Message: Message{Heartbeat: &Heartbeat{Member: b.peer, Sent: b.now.UnixNano(), ReceiverIncarnation: test.known}}})
+		assert.Equal(t, test.want, b.router.Self.Incarnation, "known as %d", test.known)
+	}
+}
