internal/modeler: combined faults find the first cause of the refused jobs that ran

There are four times as many of the long jobs and half as many of the shortest now, up to three suspensions of 5.2 to 7.5 s beside the other faults, and three quarters of the simulations have clients that do not give up.

--- a/internal/modeler/combined_test.go
+++ b/internal/modeler/combined_test.go
@@ -10,7 +10,6 @@
 var combinedFaults = []Fault{
 	{Kind: SuspendHost, Selector: "holder"},
 	{Kind: SuspendHost},
-	{Kind: SuspendHost},
 	{Kind: MuteAll},
 	{Kind: MuteAll},
 	{Kind: MuteLinks, Selector: "holder"},
@@ -32,7 +31,7 @@
 }
 
 // randomCombinedSimulation draws a small deployment under so much load that jobs are refused, with
-// late orders and impatient or patient clients, and with three to eight faults that include
+// late orders and impatient or patient clients, and with two to nine faults that include
 // suspensions for longer than holders retain verdicts.
 func randomCombinedSimulation(seed uint64) *Simulation {
 	random := rand.New(rand.NewPCG(seed, 12))
@@ -40,7 +39,7 @@
 	between := func(least, most time.Duration) time.Duration {
 		return least + time.Duration(random.Int64N(int64(most-least)))
 	}
-	sim := testSimulation(0.3+0.4*random.Float64(), 13*time.Second)
+	sim := testSimulation(0.2+0.3*random.Float64(), 14*time.Second)
 	sim.Seed = seed
 	sim.Size.HostsPerZone, sim.Size.TargetsPerZone = 2+random.IntN(2), 4+random.IntN(3)
 	sim.Size.ZoneShares = []float64{0.5, 0.3, 0.2}
@@ -56,14 +55,21 @@
 	if oneIn(4) {
 		sim.LostAnswerShare = 0.05
 	}
-	if oneIn(2) {
+	if oneIn(4) {
 		sim.Patience = 6 * time.Second
 	}
 	sim.RetryRefusedJobs = oneIn(2)
-	if oneIn(2) {
-		sim.Kinds[1].Stretch *= 3 // clients of the longest tasks wait longer than holders retain verdicts
+	sim.Kinds[1].Rate *= 4 // the clients of these jobs wait longer than holders retain verdicts
+	sim.Kinds[2].Rate /= 2
+	if oneIn(4) {
+		sim.Kinds[1].Stretch *= 2
+	}
+	for range random.IntN(4) {
+		pause := Fault{Kind: SuspendHost, At: between(0, 5*time.Second)}
+		pause.Duration = sim.Bounds.VerdictRetention + between(200*time.Millisecond, 2500*time.Millisecond)
+		sim.Faults = append(sim.Faults, pause)
 	}
-	for range 3 + random.IntN(6) {
+	for range 2 + random.IntN(5) {
 		f := combinedFaults[random.IntN(len(combinedFaults))]
 		f.At, f.Duration = between(0, 9*time.Second), between(200*time.Millisecond, 3*time.Second)
 		switch f.Kind {
