internal/router: the capacity of an entry that has gone is forgotten

Cause: the largest capacity of a kind of target, by which a job that would fit a target that has shrunk is refused and not failed, was a maximum over all entries ever seen.

Evidence: without the fix TestCapacityOfGoneEntryIsForgotten gets "refused, overload" where "failed, misfit" is due, in its three cases (the entry is gone, its target has restarted, it is of another kind), and so does TestCapacityOfUnlistedTargetIsForgottenInTime.

Fix: the largest capacity that each process of a target has shown is kept while the directory lists the process, and for Bounds.UnlistedGrace after, in which a target that is alive registers again. The capacity of a kind is the largest of these. What is kept is bounded by the directory.

--- a/internal/router/capacity.go
+++ b/internal/router/capacity.go
@@ -24,15 +24,61 @@
 
 func (t *Target) serviceKind() serviceKind { return serviceKind{t.Service, t.kind()} }
 
-// recordCapacities records the largest capacity that each kind of target has shown.
+// shownCapacity is the largest capacity that the entries of a target's process have shown.
+type shownCapacity struct {
+	serviceKind
+	startedAt     int64
+	largest       Resources
+	unlistedSince time.Time // zero while the directory lists the target
+}
+
+// recordCapacities records the capacities that the targets show, and updates the largest of each
+// kind.
 func (r *Router) recordCapacities(d Directory) {
+	listed := make(map[string]bool, len(d.Targets))
 	for i := range d.Targets {
 		t := &d.Targets[i]
-		largest := r.largestCapacities[t.serviceKind()]
-		r.largestCapacities[t.serviceKind()] = Resources{
-			CPU: max(largest.CPU, t.Capacity.CPU), Memory: max(largest.Memory, t.Capacity.Memory), GPU: max(largest.GPU, t.Capacity.GPU),
+		listed[t.ID] = true
+		shown := shownCapacity{serviceKind: t.serviceKind(), startedAt: t.StartedAt, largest: t.Capacity}
+		if before, ok := r.shownCapacities[t.ID]; ok && before.serviceKind == shown.serviceKind && before.startedAt == shown.startedAt {
+			shown.largest = shown.largest.largerOf(before.largest)
+		}
+		r.shownCapacities[t.ID] = shown
+	}
+	for id, shown := range r.shownCapacities {
+		if !listed[id] && shown.unlistedSince.IsZero() {
+			shown.unlistedSince = r.now
+			r.shownCapacities[id] = shown
 		}
 	}
+	r.updateLargestCapacities()
+}
+
+// updateLargestCapacities drops the capacities of targets that have been unlisted for longer than
+// Bounds.UnlistedGrace, and computes the largest capacity of each kind from the others.
+func (r *Router) updateLargestCapacities() {
+	clear(r.largestCapacities)
+	r.capacityExpiresAt = time.Time{}
+	for id, shown := range r.shownCapacities {
+		if !shown.unlistedSince.IsZero() {
+			end := shown.unlistedSince.Add(r.Bounds.UnlistedGrace)
+			if r.now.After(end) {
+				delete(r.shownCapacities, id)
+				continue
+			}
+			if r.capacityExpiresAt.IsZero() || end.Before(r.capacityExpiresAt) {
+				r.capacityExpiresAt = end
+			}
+		}
+		r.largestCapacities[shown.serviceKind] = r.largestCapacities[shown.serviceKind].largerOf(shown.largest)
+	}
+}
+
+// expireCapacities updates the largest capacities when the grace of an unlisted target has passed.
+func (r *Router) expireCapacities() {
+	if !r.capacityExpiresAt.IsZero() && r.now.After(r.capacityExpiresAt) {
+		r.updateLargestCapacities()
+	}
 }
 
 // refuseUnplaceable returns the refusal of a job whose tasks fit targets of evacuated zones only,
--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -115,3 +115,60 @@
 	b.pending = b.pending[1:]
 	assert.Len(t, b.startsWithin(1500*time.Millisecond), 1)
 }
+
+// list delivers a directory with the given targets.
+func (b *holderBed) list(targets ...Target) []Effect {
+	return b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: b.router.directory.Version + 1, Targets: targets}})
+}
+
+// submitOf submits a job of one task that needs an amount of CPU, and returns its answer.
+func (b *holderBed) submitOf(id string, cpu int) Verdict {
+	b.t.Helper()
+	j := twoTaskJob(id)
+	j.Count, j.Need.CPU = 1, cpu
+	got := answers(b.step(Submit{Request: uint64(100 + len(id)), Job: j, Budget: 5 * time.Second}))
+	require.Len(b.t, got, 1)
+	return got[0]
+}
+
+// TestCapacityOfGoneEntryIsForgotten: a job that fits no target, but would have fitted one that
+// has left, must fail and not be told to come back for ever.
+func TestCapacityOfGoneEntryIsForgotten(t *testing.T) {
+	restarted, otherKind := newTargets(3), newTargets(3)
+	restarted[2].StartedAt, otherKind[2].StartedAt, otherKind[2].Labels = 2, 1, []string{"b"}
+	for name, later := range map[string][]Target{"gone": newTargets(2), "restarted": restarted, "of another kind": otherKind} {
+		t.Run(name, func(t *testing.T) {
+			b := newHolderBed(t, 2, ClaimWon)
+			large := newTargets(3)
+			large[2].Capacity.CPU, large[2].StartedAt = 9000, 1
+			b.list(large...)
+			b.list(later...)
+			b.advance(b.router.Bounds.UnlistedGrace + 2*b.router.Bounds.TickInterval)
+			got := b.submitOf("never", 8000)
+			assert.Equal(t, Failed, got.Outcome)
+			assert.Equal(t, DoesNotFit, got.Reason)
+		})
+	}
+}
+
+// TestCapacityOfUnlistedTargetIsForgottenInTime: the full capacity of a shrunk target must be
+// remembered while its entry may be back, and not for longer.
+func TestCapacityOfUnlistedTargetIsForgottenInTime(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	b.list(newTargets(2)...)
+	b.resize(500)
+	b.list()
+	b.advance(b.router.Bounds.UnlistedGrace - b.router.Bounds.TickInterval)
+	shrunk := newTargets(2)
+	shrunk[0].Capacity.CPU, shrunk[1].Capacity.CPU = 500, 500
+	b.list(shrunk...)
+	assert.Equal(t, Refused, b.submitOf("a", 1000).Outcome)
+	b.list(shrunk[0])
+	b.list()
+	b.advance(b.router.Bounds.UnlistedGrace + 2*b.router.Bounds.TickInterval)
+	assert.Empty(t, b.router.shownCapacities)
+	b.list(shrunk...)
+	got := b.submitOf("bb", 1000)
+	assert.Equal(t, Failed, got.Outcome)
+	assert.Equal(t, DoesNotFit, got.Reason)
+}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -107,6 +107,11 @@
 	return Resources{CPU: r.CPU - part.CPU, Memory: r.Memory - part.Memory, GPU: r.GPU - part.GPU}
 }
 
+// largerOf returns the larger of each amount.
+func (r Resources) largerOf(other Resources) Resources {
+	return Resources{CPU: max(r.CPU, other.CPU), Memory: max(r.Memory, other.Memory), GPU: max(r.GPU, other.GPU)}
+}
+
 // Directory is a version of the platform's list of targets.
 type Directory struct {
 	Version uint64   `cbor:"1,keyasint"`
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -70,14 +70,16 @@
 	jobs                map[string]*job
 	queue               holder.Heap[*job]
 	targets             map[string]*target
-	sortedTargets       []*target             // sorted by ID
-	endedJobs           []*job                // by retainedUntil, earliest first
-	unreported          map[string]*Progress  // progress that is not reported yet, by address of the job's host
-	crashes             crashLedger           // targets that crashed under tasks
-	routeModels         map[string]*history   // by route
-	kindSpeeds          map[string]*KindSpeed // by kind of target
-	meanWorkByRoute     map[string]float64    // mean work of a job, by route
+	sortedTargets       []*target                // sorted by ID
+	endedJobs           []*job                   // by retainedUntil, earliest first
+	unreported          map[string]*Progress     // progress that is not reported yet, by address of the job's host
+	crashes             crashLedger              // targets that crashed under tasks
+	routeModels         map[string]*history      // by route
+	kindSpeeds          map[string]*KindSpeed    // by kind of target
+	meanWorkByRoute     map[string]float64       // mean work of a job, by route
+	shownCapacities     map[string]shownCapacity // by target ID
 	largestCapacities   map[serviceKind]Resources
+	capacityExpiresAt   time.Time // when the next of shownCapacities is dropped; zero if none is unlisted
 	cold                coldTargets
 	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
 	routeShares         map[string]*share  // by route
@@ -126,6 +128,7 @@
 	r.spilledAt = make(map[string]time.Time)
 	r.standbyUsedAt = make(map[string]time.Time)
 	r.kindSpeeds = make(map[string]*KindSpeed)
+	r.shownCapacities = make(map[string]shownCapacity)
 	r.largestCapacities = make(map[serviceKind]Resources)
 	r.meanWorkByRoute = make(map[string]float64)
 	r.routeShares = make(map[string]*share)
@@ -210,6 +213,7 @@
 	r.refreshDirectory()
 	r.maintainStandbyConnections()
 	r.checkTargets()
+	r.expireCapacities()
 	r.updateColdTargets()
 	r.checkJobs()
 	r.checkRequests()
