internal/router: a task that needs more than any target can have fits nowhere

What callers could see: a task with a need near the limit of the integer, accepted while no target of its service was known, was started beside another task at the first target that appeared, far over its capacity.

Cause: the need of a task is added to what the target has in use. The sum exceeded the range of an int, became negative and fitted.

Evidence: without the fix TestHugeNeedFitsNowhere sees two starts at the target in place of one, for the CPU, the memory and the GPU.

Fix: needs have the bound of capacities (Target.Check). A job that exceeds it fails as one that fits nowhere, also while no target is known.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -154,8 +154,12 @@
 )
 
 // bestFit returns where a task of the job fits, assuming that the targets of its service are
-// idle. It returns fitsOpenZone while no target of the service is known.
+// idle. It returns fitsOpenZone while no target of the service is known, unless a task needs more
+// than any target can have.
 func (r *Router) bestFit(spec *Job) fit {
+	if !maxCapacity.Fits(spec.Need) {
+		return fitsNowhere
+	}
 	known, best := false, fitsNowhere
 	for i := range r.directory.Targets {
 		t := &r.directory.Targets[i]
--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -172,3 +173,31 @@
 	assert.Equal(t, Failed, got.Outcome)
 	assert.Equal(t, DoesNotFit, got.Reason)
 }
+
+// TestHugeNeedFitsNowhere: the need of a task added to what a target has in use must not exceed
+// the range of an int, by which a task too large for every target would seem to fit.
+func TestHugeNeedFitsNowhere(t *testing.T) {
+	for name, need := range map[string]Resources{"CPU": {CPU: math.MaxInt}, "memory": {Memory: math.MaxInt}, "GPU": {GPU: math.MaxInt}} {
+		t.Run(name, func(t *testing.T) {
+			b := newHolderBed(t, 0, ClaimWon)
+			patient := func(id string, need Resources) Submit {
+				j := twoTaskJob(id)
+				j.Count, j.Need, j.Allowance = 1, need, 20*time.Second
+				return Submit{Request: uint64(len(id)), Job: j, Budget: 30 * time.Second}
+			}
+			require.Empty(t, answers(b.step(patient("a", Resources{CPU: 1000, Memory: 1, GPU: 1}))))
+			effects := b.step(patient("bb", need))
+			entries := newTargets(1)
+			entries[0].Capacity.GPU = 1
+			bed := &answeringBed{holderBed: b}
+			starts := append(bed.startsOf(effects), bed.startsOf(b.list(entries...))...)
+			starts = append(starts, bed.startsWithin(time.Second)...)
+			require.Len(t, starts, 1)
+			assert.Equal(t, "a.0.0.0", starts[0].Task)
+			got := answers(effects)
+			require.Len(t, got, 1)
+			assert.Equal(t, Failed, got[0].Outcome)
+			assert.Equal(t, DoesNotFit, got[0].Reason)
+		})
+	}
+}
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -8,8 +8,7 @@
 	"unicode"
 )
 
-// Bounds of a usable entry. A million targets with the largest capacity sum up to less than a
-// thousandth of the largest int.
+// Bounds of a usable entry.
 const (
 	// maxNameBytes bounds IDs, names and labels, as the platform's store bounds keys.
 	maxNameBytes = 200
@@ -30,6 +29,10 @@
 	maxColdLeft = 24 * time.Hour
 )
 
+// maxCapacity is the largest capacity of a target. A task that needs more fits nowhere, so that
+// sums of capacities and needs do not exceed the range of an int.
+var maxCapacity = Resources{CPU: maxCPU, Memory: maxMemory, GPU: maxGPU}
+
 // EntryError reports that an entry of the directory has a value that no usable target has.
 type EntryError struct{ Field, Value string }
 
@@ -38,8 +41,7 @@
 	return fmt.Sprintf("%s of the target is %s; correct or remove its entry", e.Field, e.Value)
 }
 
-// Check returns an *EntryError if no usable target has the entry. Capacities that pass are
-// bounded, so that their sums do not overflow.
+// Check returns an *EntryError if no usable target has the entry.
 func (t *Target) Check() error {
 	for _, text := range []struct{ field, value string }{{"the ID", t.ID}, {"the service", t.Service}, {"the zone", t.Zone}} {
 		if !isName(text.value) {
@@ -49,7 +51,7 @@
 	if !isReachableAddress(t.Address) {
 		return &EntryError{"the address", fmt.Sprintf("%.40q", t.Address)}
 	}
-	if c := t.Capacity; min(c.CPU, c.Memory, c.GPU) < 0 || c.CPU > maxCPU || c.Memory > maxMemory || c.GPU > maxGPU {
+	if c := t.Capacity; min(c.CPU, c.Memory, c.GPU) < 0 || !maxCapacity.Fits(c) {
 		return &EntryError{"the capacity", fmt.Sprintf("%+v", c)}
 	}
 	if t.StartedAt < 0 || t.StartedAt > maxStartedAt {
