internal/registrar: changes that do not arrive in time become a read of the whole list

Where a store takes longer than a call's 500 ms to answer with all changes, each read of the list fails before the answer begins, and the next asks for the same changes and more.

Without the fix TestWholeListIsReadAfterSlowChanges gets "context deadline exceeded" again.

Fix: after a read of changes that was not answered in time, the next read is of the whole list, whose pages are bounded. If that fails too, the changes are tried again.

--- a/internal/registrar/catalog.go
+++ b/internal/registrar/catalog.go
@@ -20,11 +20,15 @@
 }
 
 // directoryCache is the list of targets as it was last read. After the first read it
-// reads only the changes, because a holder reads the list about once a second.
+// reads only the changes, as long as these arrive in time, because a holder reads the list
+// about once a second.
 type directoryCache struct {
 	mutex   sync.Mutex
 	targets map[string]router.Target // by the key of the entry
 	version uint64                   // version of the store at the last read; 0 before the first
+	// tooSlow is set if the last read was of changes that did not arrive in time. The next read is
+	// of the whole list then, since the changes take longer the more there are.
+	tooSlow bool
 }
 
 // read updates the cache and returns the whole list.
@@ -32,9 +36,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	err := ErrChangesLost
-	if c.version > 0 {
+	if c.version > 0 && !c.tooSlow {
 		err = c.readChanges(ctx, table)
 	}
+	c.tooSlow = errors.Is(err, context.DeadlineExceeded)
 	if errors.Is(err, ErrChangesLost) {
 		err = c.readAll(ctx, table)
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -26,6 +27,7 @@
 	entries         []DirectoryEntry // the list of targets
 	changes         []DirectoryEntry // what the next call of TargetChanges returns
 	changesLostUpTo uint64           // TargetChanges fails for earlier versions
+	changesError    error            // what TargetChanges returns unless nil
 	fullReads       int              // calls of Targets
 	// declarations and declarationsError are what Declarations and Watch return.
 	declarations      Declarations
@@ -87,6 +89,9 @@
 	if after < m.changesLostUpTo {
 		return nil, 0, ErrChangesLost
 	}
+	if m.changesError != nil {
+		return nil, 0, m.changesError
+	}
 	changes := m.changes
 	m.changes = nil
 	return changes, m.version, nil
@@ -180,6 +185,32 @@
 	assert.Equal(t, 2, m.fullReads)
 }
 
+// TestWholeListIsReadAfterSlowChanges: changes that do not arrive in time must not be asked for
+// again and again, while they grow. Other errors do not cost a read of the whole list.
+func TestWholeListIsReadAfterSlowChanges(t *testing.T) {
+	m := &memoryTable{entries: []DirectoryEntry{{Key: "a"}}, version: 5}
+	c := &directoryCache{}
+	_, err := c.read(t.Context(), m)
+	require.NoError(t, err)
+	for _, failure := range []error{errNoAnswer, fmt.Errorf("get: %w", context.DeadlineExceeded)} {
+		m.fullReads, m.changesError = 0, failure
+		_, err = c.read(t.Context(), m)
+		require.ErrorIs(t, err, failure)
+		require.Zero(t, m.fullReads)
+		_, err = c.read(t.Context(), m)
+		if errors.Is(failure, errNoAnswer) {
+			require.ErrorIs(t, err, failure)
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, 1, m.fullReads)
+	}
+	m.changesError = nil
+	_, err = c.read(t.Context(), m)
+	require.NoError(t, err)
+	assert.Equal(t, 1, m.fullReads, "only the next read is of the whole list")
+}
+
 // TestLearnedStateIsReplacedByNextHolder: a host that starts later loads the saved learned
 // state, and the next holder of the zone replaces it. A row that cannot be decoded does
 // not prevent the load of the others.
