--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -115,3 +116,88 @@
 	b.pending = b.pending[1:]
 	assert.Len(t, b.startsWithin(1500*time.Millisecond), 1)
 }
+
+// list delivers a directory with the given targets.
+func (b *holderBed) list(targets ...Target) []Effect {
+	return b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: b.router.directory.Version + 1, Targets: targets}})
+}
+
+// submitOf submits a job of one task that needs an amount of CPU, and returns its answer.
+func (b *holderBed) submitOf(id string, cpu int) Verdict {
+	b.t.Helper()
+	j := twoTaskJob(id)
+	j.Count, j.Need.CPU = 1, cpu
+	got := answers(b.step(Submit{Request: uint64(100 + len(id)), Job: j, Budget: 5 * time.Second}))
+	require.Len(b.t, got, 1)
+	return got[0]
+}
+
+// TestCapacityOfGoneEntryIsForgotten: a job that fits no target, but would have fitted one that
+// has left, must fail and not be told to come back for ever.
+func TestCapacityOfGoneEntryIsForgotten(t *testing.T) {
+	restarted, otherKind := newTargets(3), newTargets(3)
+	restarted[2].StartedAt, otherKind[2].StartedAt, otherKind[2].Labels = 2, 1, []string{"b"}
+	for name, later := range map[string][]Target{"gone": newTargets(2), "restarted": restarted, "of another kind": otherKind} {
+		t.Run(name, func(t *testing.T) {
+			b := newHolderBed(t, 2, ClaimWon)
+			large := newTargets(3)
+			large[2].Capacity.CPU, large[2].StartedAt = 9000, 1
+			b.list(large...)
+			b.list(later...)
+			b.advance(b.router.Bounds.UnlistedGrace + 2*b.router.Bounds.TickInterval)
+			got := b.submitOf("never", 8000)
+			assert.Equal(t, Failed, got.Outcome)
+			assert.Equal(t, DoesNotFit, got.Reason)
+		})
+	}
+}
+
+// TestCapacityOfUnlistedTargetIsForgottenInTime: the full capacity of a shrunk target must be
+// remembered while its entry may be back, and not for longer.
+func TestCapacityOfUnlistedTargetIsForgottenInTime(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	b.list(newTargets(2)...)
+	b.resize(500)
+	b.list()
+	b.advance(b.router.Bounds.UnlistedGrace - b.router.Bounds.TickInterval)
+	shrunk := newTargets(2)
+	shrunk[0].Capacity.CPU, shrunk[1].Capacity.CPU = 500, 500
+	b.list(shrunk...)
+	assert.Equal(t, Refused, b.submitOf("a", 1000).Outcome)
+	b.list(shrunk[0])
+	b.list()
+	b.advance(b.router.Bounds.UnlistedGrace + 2*b.router.Bounds.TickInterval)
+	assert.Empty(t, b.router.shownCapacities)
+	b.list(shrunk...)
+	got := b.submitOf("bb", 1000)
+	assert.Equal(t, Failed, got.Outcome)
+	assert.Equal(t, DoesNotFit, got.Reason)
+}
+
+// TestHugeNeedFitsNowhere: the need of a task added to what a target has in use must not exceed
+// the range of an int, by which a task too large for every target would seem to fit.
+func TestHugeNeedFitsNowhere(t *testing.T) {
+	for name, need := range map[string]Resources{"CPU": {CPU: math.MaxInt}, "memory": {Memory: math.MaxInt}, "GPU": {GPU: math.MaxInt}} {
+		t.Run(name, func(t *testing.T) {
+			b := newHolderBed(t, 0, ClaimWon)
+			patient := func(id string, need Resources) Submit {
+				j := twoTaskJob(id)
+				j.Count, j.Need, j.Allowance = 1, need, 20*time.Second
+				return Submit{Request: uint64(len(id)), Job: j, Budget: 30 * time.Second}
+			}
+			require.Empty(t, answers(b.step(patient("a", Resources{CPU: 1000, Memory: 1, GPU: 1}))))
+			effects := b.step(patient("bb", need))
+			entries := newTargets(1)
+			entries[0].Capacity.GPU = 1
+			bed := &answeringBed{holderBed: b}
+			starts := append(bed.startsOf(effects), bed.startsOf(b.list(entries...))...)
+			starts = append(starts, bed.startsWithin(time.Second)...)
+			require.Len(t, starts, 1)
+			assert.Equal(t, "a.0.0.0", starts[0].Task)
+			got := answers(effects)
+			require.Len(t, got, 1)
+			assert.Equal(t, Failed, got[0].Outcome)
+			assert.Equal(t, DoesNotFit, got[0].Reason)
+		})
+	}
+}
