internal/router: a task number that no job has does not end the host

Callers saw: the process of the holder ended, and with it the next one's, as soon as a target listed a task of an open job with a negative number ("ID.0.0.-1"), as run or as end.

Cause: parseTaskName took any integer as the number of a task, and completeTask and adoptRun used it as an index. It also ignored the numbers of the step and the repetition, so that the end of "ID.0.3.0", which is not a task of this product, counted as the end of "ID.0.0.0".

A name now counts as a task only if it is the one that taskName makes. Any other run in a list is an orphan, which is stopped by its name, and its end is acknowledged and otherwise ignored.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -307,14 +307,15 @@
 // numbers of the step and of the repetition; a job has one of each.
 func taskName(job string, task int) string { return job + ".0.0." + strconv.Itoa(task) }
 
-// parseTaskName is the inverse of taskName.
+// parseTaskName is the inverse of taskName. It returns false for any other name that a target
+// may list.
 func parseTaskName(name string) (job string, task int, ok bool) {
 	parts := strings.Split(name, ".")
 	if len(parts) != 4 {
 		return "", 0, false
 	}
 	task, err := strconv.Atoi(parts[3])
-	return parts[0], task, err == nil
+	return parts[0], task, err == nil && task >= 0 && name == taskName(parts[0], task)
 }
 
 // sortedKeys returns the keys of a map in ascending order. Iterating in this order
