internal/router: a token that no host can have does not take a cell for good

Callers saw, after one row of the claims had a token such as 2^64-1 or 2^53-1 (another writer, a broken build): a cell without a holder for good, or hosts that did not reach each other any more.

Cause: tokens in heartbeats are checked, those in the store were not. A host that read the row took its generation over, sent it in each heartbeat, and all others rejected these heartbeats as malformed. The next generation did not fit into 64 or 53 bits: the token began anew at 0, below the known claim, or was one that no other host accepts. A row that names this process with a token of another was taken over as its own, so that two processes used one token.

A claim in the store counts only with a generation below half of what a heartbeat may carry, so that claims that follow it stay acceptable: 2^26 generations are a claim a second for two years. The version of the row is kept, so that the next claim replaces it. This is safe for "runs once", which rests on the targets: one that obeys such a token rejects the orders of every host, as before, and the cell's holder gives it up. Heartbeats of older builds are accepted as before.

--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -56,7 +56,8 @@
 }
 
 // applyClaim updates a cell with a received claim. The claim with the highest token is
-// the current one.
+// the current one. A claim that names this process is ignored unless its token is one of this
+// process, since no two processes may use the same one.
 func (r *Router) applyClaim(claim Claim) {
 	r.generation = max(r.generation, generationOf(claim.Token))
 	c := r.cell(claim.Zone)
@@ -66,7 +67,9 @@
 		return
 	}
 	if claim.Holder.Address == r.Self.Address && claim.Holder.Incarnation == r.Self.Incarnation {
-		r.confirmClaim(c, claim.Token)
+		if claim.Token == r.tokenFor(generationOf(claim.Token)) {
+			r.confirmClaim(c, claim.Token)
+		}
 		return
 	}
 	r.emit(Decision{Action: "holder", Pairs: []any{"zone", c.zone, "holder", claim.Holder.Name, "token", claim.Token, "before", c.claim.Holder.Name}})
@@ -213,6 +216,18 @@
 	for _, row := range e.Claims {
 		c := r.cell(row.Claim.Zone)
 		c.rowVersion = max(c.rowVersion, row.Version)
-		r.applyClaim(row.Claim)
+		r.applyStoredClaim(row.Claim)
+	}
+}
+
+// applyStoredClaim applies a claim in the store. It ignores a claim whose token no host can have
+// made and returns false: the next claim replaces it, and a target that obeys its token all the
+// same rejects the orders of every host.
+func (r *Router) applyStoredClaim(claim Claim) bool {
+	if err := claim.check(); err != nil {
+		r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "claim", "zone", claim.Zone, "error", err.Error()}})
+		return false
 	}
+	r.applyClaim(claim)
+	return true
 }
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -12,6 +12,9 @@
 	// maxGeneration bounds the generations of claims, so that a token stays below 2^53
 	// and is exact in JSON.
 	maxGeneration = 1 << (53 - slotBits - slotUseBits)
+	// maxStoredGeneration bounds the generations of claims in the store, so that those of the claims
+	// that follow stay below maxGeneration.
+	maxStoredGeneration = maxGeneration / 2
 )
 
 // MalformedError reports that a message from another host has an invalid value. A
@@ -69,6 +72,14 @@
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
+// check checks a claim that was read from the store.
+func (c *Claim) check() error {
+	if generationOf(c.Token) >= maxStoredGeneration {
+		return &MalformedError{"the token of a claim in the store", fmt.Sprint(c.Token)}
+	}
+	return nil
+}
+
 // checkCrashes checks crashes that were received from another host.
 func checkCrashes(crashes []Crash) error {
 	for _, c := range crashes {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -388,8 +388,7 @@
 			c.unwritten = false
 		}
 		if row.Claim.Token > c.claim.Token && (e.Result != ClaimWon || !isPending) {
-			hasNewer = true
-			r.applyClaim(row.Claim)
+			hasNewer = r.applyStoredClaim(row.Claim) || hasNewer
 		}
 	}
 	return hasNewer
