internal/registrar: an odd claim row is that of its own zone

Callers saw, after another writer had left a value in a claim's row that named another zone, or one that could be decoded in part only: no host could claim the cell any more while the store answered.

Cause: the value's zone replaced the row's key, also where decoding failed after that field. Of a conflict the claiming host then learned the version of another zone's row, claimed again under the old version, and met the same conflict for ever. What had been decoded before the error counted too, such as the token.

Deep nesting, huge lengths and indefinite texts were already decoded without harm.

A row that cannot be decoded whole, or whose zone is not its key, counts as unclaimed under its own key and version.

--- /dev/null
+++ b/internal/registrar/odd_row_test.go
@@ -0,0 +1,53 @@
+package registrar
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/shallotrouter/shallotrouter/internal/router"
+)
+
+// oddValues are values of rows that another writer may have left.
+func oddValues(t *testing.T) map[string][]byte {
+	t.Helper()
+	encode := func(v any) []byte {
+		data, err := cbor.Marshal(v)
+		require.NoError(t, err)
+		return data
+	}
+	return map[string][]byte{
+		"no CBOR":          {0xff, 0x00},
+		"deep nesting":     append(bytes.Repeat([]byte{0x81}, 60_000), 0x01),
+		"deep maps":        append(bytes.Repeat([]byte{0xa1, 0x01}, 30_000), 0x01),
+		"huge array":       {0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"huge text":        {0x7b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff},
+		"indefinite text":  append(append([]byte{0xa1, 0x01, 0x7f}, bytes.Repeat([]byte{0x61, 'x'}, 30_000)...), 0xff),
+		"endless text":     append([]byte{0xa1, 0x01, 0x7f}, bytes.Repeat([]byte{0x61, 'x'}, 30_000)...),
+		"another zone":     encode(map[int]any{1: "south", 2: 9, 3: map[int]any{1: "x", 3: "10.0.0.9:1"}}),
+		"no zone":          encode(map[int]any{2: 9}),
+		"number too large": encode(map[int]any{1: "south", 2: 9, 3: map[int]any{3: "10.0.0.9:1", 4: uint64(1 << 63)}}),
+		"wrong type":       encode(map[int]any{1: "north", 2: 9, 3: "x"}),
+		"text":             encode("text"),
+	}
+}
+
+// TestOddClaimRowIsThatOfItsOwnZone guards against a cell that can never be claimed, since the version
+// of its row is taken for that of another zone's.
+func TestOddClaimRowIsThatOfItsOwnZone(t *testing.T) {
+	for name, value := range oddValues(t) {
+		m := &memoryTable{rows: make(map[string]Row), version: 5}
+		m.rows[ClaimsTable+"north"] = Row{Table: ClaimsTable, Key: "north", Value: value, Version: 5}
+		g := &Registrar{Store: m, Log: logr.Discard()}
+		claim := router.StoredClaim{Claim: router.Claim{Zone: "north", Token: 3}}
+		conflict := g.commitClaims(t.Context(), router.WriteClaims{Token: 3, Rows: []router.StoredClaim{claim}})
+		require.Equal(t, router.ClaimConflict, conflict.Result, name)
+		assert.Equal(t, []router.StoredClaim{{Claim: router.Claim{Zone: "north"}, Version: 5}}, conflict.Rows, name)
+		claim.Version = conflict.Rows[0].Version
+		assert.Equal(t, router.ClaimWon, g.commitClaims(t.Context(), router.WriteClaims{Token: 3, Rows: []router.StoredClaim{claim}}).Result, name)
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -227,17 +227,35 @@
 func (g *Registrar) decodeClaims(rows []Row) []router.StoredClaim {
 	var list []router.StoredClaim
 	for _, row := range rows {
-		stored := router.StoredClaim{Claim: router.Claim{Zone: row.Key}, Version: row.Version}
-		if len(row.Value) > 0 {
-			if err := cbor.Unmarshal(row.Value, &stored.Claim); err != nil {
-				g.Log.Error(err, "claim not readable; treating the cell as unclaimed", "zone", row.Key, "version", row.Version)
-			}
+		claim, err := decodeClaim(row)
+		if err != nil {
+			g.Log.Error(err, "claim not readable; treating the cell as unclaimed", "zone", row.Key, "version", row.Version)
 		}
-		list = append(list, stored)
+		list = append(list, router.StoredClaim{Claim: claim, Version: row.Version})
 	}
 	return list
 }
 
+// errMisplacedClaim means that the key of a row and its claim name different zones.
+var errMisplacedClaim = errors.New("the claim names another zone than its row; find out who else writes the table")
+
+// decodeClaim decodes a claim row, which is empty while the cell is unclaimed. After an error, the
+// claim has only its zone.
+func decodeClaim(row Row) (router.Claim, error) {
+	unclaimed := router.Claim{Zone: row.Key}
+	if len(row.Value) == 0 {
+		return unclaimed, nil
+	}
+	var claim router.Claim
+	if err := cbor.Unmarshal(row.Value, &claim); err != nil {
+		return unclaimed, err
+	}
+	if claim.Zone != row.Key {
+		return unclaimed, errMisplacedClaim
+	}
+	return claim, nil
+}
+
 // RemoveMember deletes a member's row unless another process uses the row.
 func (g *Registrar) RemoveMember(m router.Member) {
 	c := &storeCall{work: func(ctx context.Context) {
