internal/registrar: a host does not take the slot of an unreadable member row

What could happen: two processes with the same fencing tokens. A starting host that met an unreadable row in its search for a slot took the slot, with the number of uses counted anew from 1. The row may be that of a running host of another build, or one that another writer has overwritten; that host keeps using the slot.

The log says when the row can be deleted. That two tokens differ is what "a task runs once at a time" rests on, and a slot that stays unused costs nothing.

--- a/internal/registrar/enroller.go
+++ b/internal/registrar/enroller.go
@@ -86,8 +86,9 @@
 	}
 	var found member
 	if err := cbor.Unmarshal(row.Value, &found); err != nil {
-		r.registrar.Log.Error(err, "member not readable; replacing its row", "key", row.Key, "version", row.Version)
-		return 1, true // no host can decode this row
+		// A running host may use the slot, and tokens must differ between processes.
+		r.registrar.Log.Error(err, "member not readable; leaving its slot unused; delete the row once no host uses it", "key", row.Key, "version", row.Version)
+		return 0, false
 	}
 	self := r.registrar.Self
 	if found.Member.Address != self.Address {
--- a/internal/registrar/odd_row_test.go
+++ b/internal/registrar/odd_row_test.go
@@ -51,3 +51,19 @@
 		assert.Equal(t, router.ClaimWon, g.commitClaims(t.Context(), router.WriteClaims{Token: 3, Rows: []router.StoredClaim{claim}}).Result, name)
 	}
 }
+
+// TestUnreadableMemberRowKeepsItsSlot guards against two processes with one token: the row may be that
+// of a running host whose slot and number of uses the next process would repeat.
+func TestUnreadableMemberRowKeepsItsSlot(t *testing.T) {
+	values := oddValues(t)
+	delete(values, "another zone") // readable, as the row of another host
+	delete(values, "no zone")
+	for name, value := range values {
+		m := &memoryTable{rows: make(map[string]Row)}
+		slot := preferredSlot("10.0.0.1:1")
+		m.rows[MembersTable+rowKey(slot)] = Row{Table: MembersTable, Key: rowKey(slot), Value: value, Version: 99}
+		got := register(t, m, "10.0.0.1:1", 1)
+		assert.NotEqual(t, slot, got.Slot, name)
+		assert.True(t, bytes.Equal(value, m.rows[MembersTable+rowKey(slot)].Value), name)
+	}
+}
