internal/router: run lists count again after one with an odd clock

Callers saw: runs that a target had lost, or that nobody waits for, were never noticed there again until the target restarted, after one of its answers had a clockMs far ahead (a broken answer; 2^63-1 or only half an hour).

Cause: of lists that overtake each other, the one with the later reading of the target's clock counts. The latest reading was kept for good.

Evidence: TestRunListAfterOddClockCounts without the fix, for four readings: `map[string]int{} does not contain "x.0.0.0"`, and no repeated start of the lost run ("[]" should have 1 item(s), but has 0).

A list that was requested after another had arrived is the newer one, whatever its clock says. TestOvertakenRunListIsIgnored holds what the clock is for: of two lists under way at once the later reading counts; it passes with and without the fix.

--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -35,9 +35,11 @@
 			r.handleEnd(t, end)
 		}
 	}
-	r.sendProgress()                      // before the next renewal, whose acknowledgement lets the target discard the ends
-	if e.Clock.Millis >= t.runListClock { // an answer on another connection may have overtaken this one
-		t.runListClock = e.Clock.Millis
+	r.sendProgress() // before the next renewal, whose acknowledgement lets the target discard the ends
+	// An answer on another connection may have overtaken this one, unless it had arrived before this
+	// one was requested.
+	if e.Clock.Millis >= t.runListClock || e.SentAt.After(t.runListAt) {
+		t.runListClock, t.runListAt = e.Clock.Millis, r.now
 		r.reconcileRuns(t, e)
 		r.stopOrphans(t)
 	}
--- a/internal/router/odd_list_test.go
+++ b/internal/router/odd_list_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -27,3 +28,36 @@
 		assert.Contains(t, b.router.targets["p"].orphanRunNumbers, name)
 	}
 }
+
+// TestRunListAfterOddClockCounts guards against a target whose lists count no more, since one answer
+// had a reading that its clock never reaches again.
+func TestRunListAfterOddClockCounts(t *testing.T) {
+	for _, odd := range []int64{math.MaxInt64, 1 << 53, 1 << 42, 2_000_000} {
+		b := newHolderBed(t, 2, ClaimWon)
+		start, _ := b.startTask("j", Running)
+		list := func(millis int64, running ...RunningTask) []Effect {
+			b.now = b.now.Add(20 * time.Millisecond)
+			sentAt := b.now
+			b.now = b.now.Add(2 * time.Millisecond)
+			return b.step(RenewAnswered{Target: start.Target.ID, Token: start.Token, SentAt: sentAt, Poll: true, Result: Running, Clock: Reading{Millis: millis, At: b.now}, Running: running})
+		}
+		list(odd, RunningTask{Task: start.Task, Run: start.Run})
+		list(1_000, RunningTask{Task: start.Task, Run: start.Run}, RunningTask{Task: "x.0.0.0", Run: 3})
+		assert.Contains(t, b.router.targets[start.Target.ID].orphanRunNumbers, "x.0.0.0", "clock %d", odd)
+		assert.Len(t, effectsOf[Start](list(1_020)), 1, "the lost run is repeated after clock %d", odd)
+	}
+}
+
+// TestOvertakenRunListIsIgnored: of two lists that were under way at once, the one with the later
+// reading of the target's clock counts.
+func TestOvertakenRunListIsIgnored(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	sentAt := b.now
+	start, _ := b.startTask("j", Running)
+	b.now = b.now.Add(10 * time.Millisecond)
+	answer := RenewAnswered{Target: "p", Token: start.Token, SentAt: sentAt, Poll: true, Result: Running, Clock: Reading{Millis: 1_000, At: b.now}, Running: []RunningTask{{Task: "x.0.0.0", Run: 3}}}
+	b.step(answer)
+	answer.Clock.Millis, answer.Running = 990, nil
+	b.step(answer)
+	assert.Contains(t, b.router.targets["p"].orphanRunNumbers, "x.0.0.0")
+}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -34,6 +34,7 @@
 	orphanRunNumbers map[string]int
 	orphansStoppedAt time.Time // last time that the orphans were ordered to stop
 	runListClock     int64     // the target's clock at its newest run list, in milliseconds
+	runListAt        time.Time // when that list was received
 	// unmatchedEnds are ends of tasks whose job was not offered to this host yet.
 	unmatchedEnds  map[string]End
 	fencedAt       time.Time // when it accepted the token
