internal/router: the run after one with a huge number has a number

Callers saw: a task whose run a target lists with a number near the integer's limit could not be started again; the same for a job that is offered with such a base of run numbers.

Cause: the next run's number is one more than the highest that is known, and overflowed. Targets reject negative numbers, and each rejection adds 16.

Evidence: TestRunAfterHugeRunNumberIsPositive without the fix: "-" is not positive; TestMalformedMessagesAreRejected/huge base: the offer is accepted.

Such a run is adopted as before, so that the task does not run twice, but its number is not continued. An offer with such a base is malformed: sound hosts raise it by 16 with each holder.

--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -9,6 +9,8 @@
 	// MaxTasks bounds the tasks of a job. It is about twenty times the 460 tasks of the
 	// largest job that clients plan.
 	MaxTasks = 10_000
+	// maxRunNumber bounds the numbers of runs. It is the largest integer to which JSON is exact.
+	maxRunNumber = 1 << 53
 	// maxGeneration bounds the generations of claims, so that a token stays below 2^53
 	// and is exact in JSON.
 	maxGeneration = 1 << (53 - slotBits - slotUseBits)
@@ -51,7 +53,7 @@
 		return &MalformedError{"the resource need of a task", fmt.Sprint(j.Need)}
 	case !areFinite(j.Stretch):
 		return &MalformedError{"the stretch", fmt.Sprint(j.Stretch)}
-	case o.RunBase < 0:
+	case o.RunBase < 0 || o.RunBase > maxRunNumber:
 		return &MalformedError{"the run number base", fmt.Sprint(o.RunBase)}
 	}
 	return checkCrashes(o.Crashes)
--- a/internal/router/check_test.go
+++ b/internal/router/check_test.go
@@ -25,6 +25,7 @@
 		"negative need":  offer(func(o *Offer) { o.Job.Need.CPU = -1 }),
 		"stretch":        offer(func(o *Offer) { o.Job.Stretch = math.NaN() }),
 		"negative base":  offer(func(o *Offer) { o.RunBase = -1 }),
+		"huge base":      offer(func(o *Offer) { o.RunBase = math.MaxInt }),
 		"generation":     {Heartbeat: &Heartbeat{Member: member, Generation: math.MaxUint64}},
 		"token":          {Heartbeat: &Heartbeat{Member: member, Claims: []Claim{{Zone: "north", Token: math.MaxUint64}}}},
 		"route stats":    {Heartbeat: &Heartbeat{Member: member, Routes: []RouteStats{{Route: "r", Count: 9, MeanX: math.NaN()}}}},
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -128,7 +128,10 @@
 	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	r.transitionTask(j, index, taskStart)
-	k.run, k.lastRun, j.mayHaveStarted = n, max(k.lastRun, entry.Run), true
+	k.run, j.mayHaveStarted = n, true
+	if entry.Run <= maxRunNumber {
+		k.lastRun = max(k.lastRun, entry.Run)
+	}
 	t.runs[entry.Task] = n
 	t.used = t.used.plus(n.need)
 	delete(t.orphanRunNumbers, entry.Task)
--- a/internal/router/odd_list_test.go
+++ b/internal/router/odd_list_test.go
@@ -61,3 +61,22 @@
 	b.step(answer)
 	assert.Contains(t, b.router.targets["p"].orphanRunNumbers, "x.0.0.0")
 }
+
+// TestRunAfterHugeRunNumberIsPositive guards against run numbers that overflow, which every target
+// rejects.
+func TestRunAfterHugeRunNumberIsPositive(t *testing.T) {
+	for _, number := range []int{math.MaxInt, math.MaxInt - 1, 1 << 53} {
+		b := newHolderBed(t, 2, ClaimWon)
+		list := func(running ...RunningTask) []Effect {
+			b.now = b.now.Add(20 * time.Millisecond)
+			return b.step(RenewAnswered{Target: "p", Token: b.router.targets["p"].token, SentAt: b.now, Poll: true, Result: Running, Clock: Reading{Millis: b.now.UnixMilli() - testEpoch*1000, At: b.now}, Running: running})
+		}
+		list(RunningTask{Task: "j.0.0.0", Run: number})
+		j := twoTaskJob("j")
+		j.Count = 1
+		require.Empty(t, effectsOf[Start](b.step(Submit{Request: 1, Job: j, Budget: 5 * time.Second})), "it runs already")
+		starts := effectsOf[Start](list())
+		require.Len(t, starts, 1, "run %d", number)
+		assert.Positive(t, starts[0].Run, "run %d", number)
+	}
+}
