platform, internal/router: an odd value in a target's answer costs only itself

Callers saw, after a target had answered a renewal with a row of an active run whose task, run, checkpoint or progress was odd: the run counted as over, and its task was started elsewhere while it ran on.

If a task or a run is unreadable, the list is partial: no run is over for lack of a row, no quarantine ends by this target, and the target is treated as one with orphans that cannot be stopped: it gets no starts, and its lease is not extended, so that the unknown run ends by itself within a lease.

--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -163,7 +163,9 @@
 	// identifies the process; 0 means unknown.
 	StartedAt int64
 	Running   []RunningTask
-	Ended     []End
+	// Partial is true if Running lacks runs that could not be decoded.
+	Partial bool
+	Ended   []End
 }
 
 // RunningTask is a run that a target lists as running.
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -75,8 +75,29 @@
 	t.unmatchedEnds[end.Task] = end
 }
 
-// reconcileRuns compares a target's run list with the runs that are known here.
+// reconcileRuns compares a target's run list with the runs that are known here. From a partial
+// list it does not follow that a run is over.
 func (r *Router) reconcileRuns(t *target, e RenewAnswered) {
+	if e.Partial && !t.hasUnreadableRuns {
+		r.logTarget(t, "unreadable", "running", len(e.Running))
+	}
+	t.hasUnreadableRuns = e.Partial
+	if !e.Partial {
+		r.endUnlistedRuns(t, e)
+	}
+	for _, entry := range e.Running {
+		if n := t.runs[entry.Task]; n != nil && n.number >= entry.Run {
+			if n.number == entry.Run {
+				r.handleRunProgress(n, entry.Percent)
+			}
+			continue
+		}
+		r.handleUnknownRun(t, entry)
+	}
+}
+
+// endUnlistedRuns ends the runs and drops the orphans that a target's run list lacks.
+func (r *Router) endUnlistedRuns(t *target, e RenewAnswered) {
 	listed := make(map[string]int, len(e.Running))
 	for _, entry := range e.Running {
 		listed[entry.Task] = entry.Run
@@ -95,15 +116,6 @@
 			delete(t.orphanRunNumbers, name)
 		}
 	}
-	for _, entry := range e.Running {
-		if n := t.runs[entry.Task]; n != nil && n.number >= entry.Run {
-			if n.number == entry.Run {
-				r.handleRunProgress(n, entry.Percent)
-			}
-			continue
-		}
-		r.handleUnknownRun(t, entry)
-	}
 }
 
 // handleUnknownRun handles a run in a target's run list that is not known here: a previous holder
--- a/internal/router/odd_list_test.go
+++ b/internal/router/odd_list_test.go
@@ -62,6 +62,53 @@
 	assert.Contains(t, b.router.targets["p"].orphanRunNumbers, "x.0.0.0")
 }
 
+// TestRunThatListMayHoldUnreadablyIsNotRepeated guards against a task that runs twice, since the row of
+// its run in the target's list could not be decoded.
+func TestRunThatListMayHoldUnreadablyIsNotRepeated(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	start, _ := b.startTask("j", Running)
+	list := func(partial bool) []Effect {
+		b.now = b.now.Add(20 * time.Millisecond)
+		return b.step(RenewAnswered{Target: start.Target.ID, Token: start.Token, SentAt: b.now, Poll: true, Result: Running, Clock: Reading{Millis: b.now.UnixMilli() - testEpoch*1000, At: b.now}, Partial: partial})
+	}
+	effects := list(true)
+	assert.Empty(t, effectsOf[Start](effects))
+	target := b.router.targets[start.Target.ID]
+	assert.NotEmpty(t, target.runs)
+	assert.False(t, b.router.isUsable(target), "an unknown run takes part of its room")
+	b.now = b.now.Add(b.router.Bounds.IdleRenewInterval)
+	for _, renew := range effectsOf[Renew](b.step(Tick{})) {
+		if renew.Target.ID == start.Target.ID {
+			assert.Zero(t, renew.LeaseEnd, "the unknown run would run on")
+		}
+	}
+	effects = list(false)
+	require.Len(t, effectsOf[Start](effects), 1)
+	assert.True(t, b.router.isUsable(target))
+}
+
+// TestReofferedJobWaitsForUnreadableRuns guards against a second run of a previous holder's task beside
+// one that a target lists unreadably.
+func TestReofferedJobWaitsForUnreadableRuns(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	j := twoTaskJob("j")
+	j.Stretch = 30
+	b.now = b.now.Add(20 * time.Millisecond)
+	effects := b.step(Receive{From: "10.0.0.9:1", Message: Message{Heartbeat: &Heartbeat{Member: Member{Name: "n", Zone: "north", Address: "10.0.0.9:1", Incarnation: 5, Slot: 9}, Sent: b.now.UnixNano(), Echo: b.now.UnixNano()}}})
+	token := b.router.cells["north"].claim.Token
+	effects = append(effects, b.step(Receive{From: "10.0.0.9:1", Message: Message{Offer: &Offer{
+		Job: j, TimeLeft: 9 * time.Second, SubmissionID: b.now.UnixNano(), Token: token, Reoffered: true, PreviousZones: []string{"north"},
+	}}})...)
+	require.Empty(t, effectsOf[Start](effects))
+	list := func(partial bool) []Effect {
+		b.now = b.now.Add(20 * time.Millisecond)
+		return b.step(RenewAnswered{Target: "p", Token: token, SentAt: b.now, Poll: true, Result: Running, Clock: Reading{Millis: b.now.UnixMilli() - testEpoch*1000, At: b.now}, Partial: partial})
+	}
+	assert.Empty(t, effectsOf[Start](list(true)))
+	assert.False(t, b.router.isQuarantineOver(b.router.jobs["j"]))
+	assert.Len(t, effectsOf[Start](list(false)), 2)
+}
+
 // TestRunAfterHugeRunNumberIsPositive guards against run numbers that overflow, which every target
 // rejects.
 func TestRunAfterHugeRunNumberIsPositive(t *testing.T) {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -123,7 +123,7 @@
 	}
 	needsNoWait := func(entry Target) bool {
 		t := r.targets[entry.ID]
-		return t != nil && t.fenced && !t.lastConfirmedAt.Before(j.offeredAt) || !slices.Contains(j.previousZones, entry.Zone)
+		return t != nil && t.fenced && !t.hasUnreadableRuns && !t.lastConfirmedAt.Before(j.offeredAt) || !slices.Contains(j.previousZones, entry.Zone)
 	}
 	for _, entry := range r.directory.Targets {
 		if !needsNoWait(entry) {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -55,6 +55,9 @@
 	onTrial      bool      // it gets one task at a time until one succeeds
 	evacuated    bool      // its zone is evacuated
 	coldUntil    time.Time // it is slow before this time
+	// hasUnreadableRuns is set while the target lists runs that cannot be decoded. Nothing is known of
+	// them, so that the target is treated as one with orphans that cannot be stopped.
+	hasUnreadableRuns bool
 }
 
 // run is one start of a task at a target.
@@ -239,9 +242,12 @@
 	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasOutdatedEntry() {
 		return false
 	}
-	return len(t.orphanRunNumbers) == 0
+	return !t.hasOrphans()
 }
 
+// hasOrphans reports whether a target has runs that are not known here.
+func (t *target) hasOrphans() bool { return len(t.orphanRunNumbers) > 0 || t.hasUnreadableRuns }
+
 // hasOutdatedEntry reports whether the directory has the entry of an earlier process of the
 // target, whose kind and capacity may differ.
 func (t *target) hasOutdatedEntry() bool { return t.StartedAt > 0 && t.incarnation > t.StartedAt }
@@ -307,7 +313,7 @@
 
 func (r *Router) sendRenew(t *target, wait time.Duration, poll bool) {
 	leaseEnd := int64(0)
-	if len(t.orphanRunNumbers) == 0 && t.missedRenewals == 0 {
+	if !t.hasOrphans() && t.missedRenewals == 0 {
 		// Leases are not extended while the target has orphans, which would run on, or is
 		// unresponsive, since its tasks can start elsewhere only after the leases have expired.
 		leaseEnd = t.leaseEnd(r.now, r.Bounds.LeaseDuration)
