internal/router: numbers that nothing can exceed are not kept for good

What could happen after one message of another host, or one row of the store, with a number near the integer's limit, until the processes ended:

- evacuations, a configuration, a list of targets or a number of targets with version 2^64-1: no later one was adopted, and all hosts got it;
- a host's link rate of 2^63-1, in a member's row or a claim: hosts disagreed on whether each zone has a holder of its own;
- a heartbeat sent at 2^63-1: its host stayed unreachable, as this time was echoed to it from then on, and its offers counted as overtaken;
- a member's row with incarnation 2^63-1: its host was ignored for 15 s.

Cause: these numbers are kept as the highest that was seen.

A version beyond 2^53, to which JSON is exact, is not adopted, from wherever; the rest of the message counts. A member whose values no host has is skipped, a claim's holder is then unknown, and the claim's token still counts. A heartbeat that its sender dates after 2116 or before 1970 is malformed.

--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -66,6 +66,10 @@
 	if claim.Token <= c.claim.Token {
 		return
 	}
+	if err := claim.Holder.check(); err != nil {
+		r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "holder", "zone", claim.Zone, "error", err.Error()}})
+		claim.Holder = Member{} // unknown and never reachable, so that the cell is claimed under a higher token
+	}
 	if claim.Holder.Address == r.Self.Address && claim.Holder.Incarnation == r.Self.Incarnation {
 		if claim.Token == r.tokenFor(generationOf(claim.Token)) {
 			r.confirmClaim(c, claim.Token)
@@ -205,6 +209,10 @@
 		r.emit(Decision{Action: "enrol", Pairs: []any{"slot", e.Slot, "life", e.SlotUses, "members", len(e.Members)}})
 	}
 	for _, m := range e.Members {
+		if err := m.check(); err != nil {
+			r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "member", "host", m.Name, "error", err.Error()}})
+			continue
+		}
 		r.addPeer(m)
 	}
 	r.handleClaimsRead(ClaimsRead{Claims: e.Claims})
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -9,8 +9,18 @@
 	// MaxTasks bounds the tasks of a job. It is about twenty times the 460 tasks of the
 	// largest job that clients plan.
 	MaxTasks = 10_000
-	// maxRunNumber bounds the numbers of runs. It is the largest integer to which JSON is exact.
+	// maxRunNumber bounds the numbers of runs, and maxVersion the versions of the store and of
+	// configurations. It is the largest integer to which JSON is exact.
 	maxRunNumber = 1 << 53
+	maxVersion   = 1 << 53
+	// maxTimestamp bounds Unix times in nanoseconds: the year 2116.
+	maxTimestamp = math.MaxInt64 / 2
+	// maxStrength bounds a host's processor share and link rate.
+	maxStrength = 1 << 40
+	// maxKeyBytes bounds the names of zones, which are keys in the platform's store, and
+	// maxAddressBytes those of hosts: a domain name and a port.
+	maxKeyBytes     = 200
+	maxAddressBytes = 260
 	// maxGeneration bounds the generations of claims, so that a token stays below 2^53
 	// and is exact in JSON.
 	maxGeneration = 1 << (53 - slotBits - slotUseBits)
@@ -63,6 +73,12 @@
 	if h.Generation >= maxGeneration {
 		return &MalformedError{"the generation", fmt.Sprint(h.Generation)}
 	}
+	if h.Sent < 0 || h.Sent > maxTimestamp {
+		return &MalformedError{"the time of a heartbeat", fmt.Sprint(h.Sent)}
+	}
+	if err := h.Member.check(); err != nil {
+		return err
+	}
 	for _, c := range h.Claims {
 		if generationOf(c.Token) >= maxGeneration {
 			return &MalformedError{"the token of a claim", fmt.Sprint(c.Token)}
@@ -82,6 +98,33 @@
 	return nil
 }
 
+// check checks a member that names itself, or that the store or a claim names.
+func (m *Member) check() error {
+	switch {
+	case m.Incarnation < 0 || m.Incarnation > maxTimestamp:
+		return &MalformedError{"the incarnation of a host", fmt.Sprint(m.Incarnation)}
+	case m.Slot < 0 || m.Slot >= 1<<slotBits:
+		return &MalformedError{"the slot of a host", fmt.Sprint(m.Slot)}
+	case m.CPUShare < 0 || m.CPUShare > maxStrength:
+		return &MalformedError{"the processor share of a host", fmt.Sprint(m.CPUShare)}
+	case m.LinkRate < 0 || m.LinkRate > maxStrength:
+		return &MalformedError{"the link rate of a host", fmt.Sprint(m.LinkRate)}
+	case len(m.Zone) > maxKeyBytes || len(m.Address) > maxAddressBytes:
+		return &MalformedError{"the zone or address of a host", fmt.Sprintf("%d and %d bytes long", len(m.Zone), len(m.Address))}
+	}
+	return nil
+}
+
+// isOddVersion reports whether a version cannot be one of the store or of a configuration. Once adopted,
+// no later one could replace it.
+func (r *Router) isOddVersion(version uint64, kind string) bool {
+	if version <= maxVersion {
+		return false
+	}
+	r.emit(Decision{Action: "ignore", Pairs: []any{"kind", kind, "error", (&MalformedError{"the version", fmt.Sprint(version)}).Error()}})
+	return true
+}
+
 // checkCrashes checks crashes that were received from another host.
 func checkCrashes(crashes []Crash) error {
 	for _, c := range crashes {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -61,9 +61,9 @@
 
 // updateTotalTargets records the number of targets in a version of the directory. Hosts
 // that do not receive the directory itself use the number to agree on whether each zone
-// has a holder of its own.
+// has a holder of its own. Values that no list can have are ignored.
 func (r *Router) updateTotalTargets(version uint64, total int) {
-	if version > r.totalTargetsVersion {
+	if version > r.totalTargetsVersion && version <= maxVersion && total >= 0 {
 		r.totalTargetsVersion, r.totalTargets = version, total
 		r.updateHolderPerZone()
 	}
