internal/router: one zone's name does not keep all claims out of the store

What could happen, after another host or an entry of a target had named a zone of more than 200 bytes or without a name, or once there were more than 50 zones: the store rejected each claim of every host, so that cells were held without the store's knowledge, and by hosts with a majority only.

Cause: all zones that a host claims at a time go into one transaction. Its keys have at most 200 bytes, and it at most 100 entries, two for each zone.

Evidence: TestZonesThatTheStoreRejectsDoNotEndClaims without the fix: 143 rows in one transaction, two of them without a valid key.

A zone that cannot be a key is not claimed. 50 zones are claimed at a time; the others follow with the next tick.

--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -125,6 +125,9 @@
 	return true
 }
 
+// isStorable reports whether a zone's claim can be a row of the platform's store.
+func isStorable(zone string) bool { return zone != "" && len(zone) <= maxKeyBytes }
+
 // checkCrashes checks crashes that were received from another host.
 func checkCrashes(crashes []Crash) error {
 	for _, c := range crashes {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -22,6 +22,9 @@
 	// claimWriteInterval is the delay between two attempts to write a claim that the
 	// store did not take.
 	claimWriteInterval = 500 * time.Millisecond
+	// maxClaimRows bounds the claims that are written at once. Each is two of the 100 entries of a
+	// transaction in the platform's store: the expected version and the new row.
+	maxClaimRows = 50
 )
 
 // candidates returns the members that can hold a zone's cell, best first. Hosts that
@@ -84,12 +87,12 @@
 	}
 	var zones []string
 	for _, zone := range sortedKeys(r.cells) {
-		if r.shouldClaim(r.cells[zone]) {
+		if isStorable(zone) && r.shouldClaim(r.cells[zone]) {
 			zones = append(zones, zone)
 		}
 	}
 	if len(zones) > 0 {
-		r.startClaim(zones)
+		r.startClaim(zones[:min(len(zones), maxClaimRows)]) // the others follow
 	}
 }
 
--- a/internal/router/odd_message_test.go
+++ b/internal/router/odd_message_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -96,3 +98,30 @@
 	b.receiveHeartbeat(0)
 	assert.Equal(t, b.now.UnixNano(), b.router.peers[b.peer.Address].lastPeerTimestamp)
 }
+
+// TestZonesThatTheStoreRejectsDoNotEndClaims guards against claims that the store rejects for good, since
+// they go into one transaction with one for a zone whose name is no key, or with too many others.
+func TestZonesThatTheStoreRejectsDoNotEndClaims(t *testing.T) {
+	b := &holderBed{originBed: &originBed{now: time.Unix(testEpoch, 0)}, t: t}
+	b.router = &Router{Self: Member{Name: "a", Zone: "north", Address: "10.0.0.1:1", Incarnation: 1}, Bounds: Standard()}
+	b.step(Tick{})
+	b.step(Registered{Slot: 2, SlotUses: 1})
+	targets := newTargets(1)
+	for i := range 140 {
+		targets = append(targets, Target{ID: fmt.Sprint("x-", i), Zone: fmt.Sprint("a-", i), Service: "work"})
+	}
+	targets = append(targets, Target{ID: "y", Zone: strings.Repeat("y", 300)}, Target{ID: "z"})
+	b.step(EvacuationsRead{RequestedAt: b.now, Evacuations: Evacuations{Version: 1}})
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 1, Targets: targets}})
+	for range 100 {
+		for _, e := range effectsOf[WriteClaims](b.advance(b.router.Bounds.TickInterval)) {
+			isRejected := len(e.Rows) > 50 || slices.ContainsFunc(e.Rows, func(row StoredClaim) bool { return row.Claim.Zone == "" || len(row.Claim.Zone) > 200 })
+			require.False(t, isRejected, "%d rows", len(e.Rows))
+			b.step(ClaimsWritten{Token: e.Token, Result: ClaimWon, Rows: e.Rows})
+		}
+	}
+	for i := range 140 {
+		assert.True(t, b.router.cells[fmt.Sprint("a-", i)].heldHere)
+	}
+	assert.True(t, b.router.cells["north"].heldHere)
+}
