internal/linker: an unreadable message does not close the link

What could happen while a host sent one message that another cannot decode (a count beyond 63 bits, a text that is no UTF-8), such as an offer that it repeats on each new connection: the two did not reach each other, since the frame held its heartbeat as well.

Cause: one unreadable message made the whole frame unreadable, and the link was closed.

Evidence: TestOddMessageCostsOnlyItself without the fix, for five messages: "Condition never satisfied". TestUnreadableFrameIsAnError passed before: cut frames, huge lengths, a million levels of nesting.

The message is skipped and logged. The link is still closed if the frame itself is no list of messages.

--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -153,7 +153,7 @@
 			l.Log.V(1).Info("incoming link ended", "from", from, "error", err.Error())
 			return
 		}
-		messages, err := l.decode(data)
+		messages, err := l.decode(from, data)
 		if err != nil {
 			l.Log.Info("incoming link closed", "from", from, "reason", "unreadable frame", "bytes", len(data), "error", err.Error())
 			return
@@ -178,19 +178,21 @@
 	return cbor.Marshal(parts)
 }
 
-// decode decodes the messages of a frame. It rejects the whole frame if one message cannot
-// be decoded.
-func (l *Linker) decode(data []byte) ([]router.Message, error) {
+// decode decodes the messages of a frame. It skips a message that cannot be decoded.
+func (l *Linker) decode(from string, data []byte) ([]router.Message, error) {
 	var parts []cbor.RawMessage
 	if err := cbor.Unmarshal(data, &parts); err != nil {
 		return nil, err
 	}
-	messages := make([]router.Message, len(parts))
-	for i, part := range parts {
-		if err := cbor.Unmarshal(part, &messages[i]); err != nil {
-			return nil, err
+	messages := make([]router.Message, 0, len(parts))
+	for _, part := range parts {
+		var m router.Message
+		if err := cbor.Unmarshal(part, &m); err != nil {
+			l.Log.Info("message skipped", "from", from, "reason", "unreadable; check that all hosts run the same version of the program", "bytes", len(part), "error", err.Error())
+			continue
 		}
-		l.observe("in", messages[i], len(part))
+		messages = append(messages, m)
+		l.observe("in", m, len(part))
 	}
 	return messages, nil
 }
