internal/linker: what is queued for a host is sent in frames that it reads

What could happen: a host with some two thousand open jobs with specs of 4,000 bytes did not reach the holder again after their connection had broken.

Cause: all that is queued went into one frame. On a new connection a host offers all its open jobs at once, together 8 MB; the other host reads at most 8 MB and closes the link, and the same follows on the next one.

Evidence: TestLargeQueueIsSent without the fix: "Condition never satisfied" (4,000 offers of 4 KB).

Frames of several messages have at most 1 MB. Hosts of older builds read them as before.

--- a/internal/linker/link.go
+++ b/internal/linker/link.go
@@ -147,7 +147,7 @@
 	k.conn, k.queue = c, nil
 }
 
-// flush writes all queued messages in one frame.
+// flush writes all queued messages.
 func (k *link) flush(ctx context.Context, c *websocket.Conn) error {
 	k.mutex.Lock()
 	messages := k.queue
@@ -156,11 +156,20 @@
 	if len(messages) == 0 {
 		return nil
 	}
-	data, err := k.linker.encode(messages)
+	frames, err := k.linker.encode(messages)
 	if err != nil {
 		return err
 	}
-	writeContext, cancel := context.WithTimeout(ctx, unackedTimeout)
+	for _, data := range frames {
+		if err := writeFrame(ctx, c, data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeFrame(ctx context.Context, c *websocket.Conn, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, unackedTimeout)
 	defer cancel()
-	return c.Write(writeContext, websocket.MessageBinary, data)
+	return c.Write(ctx, websocket.MessageBinary, data)
 }
--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -28,6 +28,9 @@
 	// maxFrameBytes bounds a received frame; it has room for a configuration of thousands of
 	// routes.
 	maxFrameBytes = 8 << 20
+	// maxSentFrameBytes bounds a frame of several messages. The offers of two thousand jobs, which
+	// are repeated on a new connection, exceed maxFrameBytes.
+	maxSentFrameBytes = 1 << 20
 	// maxQueuedMessages bounds the queue of a link; further messages are dropped.
 	maxQueuedMessages = 8192
 	// dialTimeout bounds a dial, including the WebSocket handshake: several round trips
@@ -164,18 +167,33 @@
 	}
 }
 
-// encode encodes messages as one frame.
-func (l *Linker) encode(messages []router.Message) ([]byte, error) {
-	parts := make([]cbor.RawMessage, len(messages))
-	for i, m := range messages {
+// encode encodes messages as frames of at most maxSentFrameBytes, or of one message each.
+func (l *Linker) encode(messages []router.Message) (frames [][]byte, err error) {
+	var parts []cbor.RawMessage
+	size := 0
+	for _, m := range messages {
 		data, err := cbor.Marshal(m)
 		if err != nil {
 			return nil, err
 		}
-		parts[i] = data
 		l.observe("out", m, len(data))
+		if size+len(data) > maxSentFrameBytes && len(parts) > 0 {
+			if frames, err = appendFrame(frames, parts); err != nil {
+				return nil, err
+			}
+			parts, size = nil, 0
+		}
+		parts, size = append(parts, data), size+len(data)
+	}
+	return appendFrame(frames, parts)
+}
+
+func appendFrame(frames [][]byte, parts []cbor.RawMessage) ([][]byte, error) {
+	data, err := cbor.Marshal(parts)
+	if err != nil {
+		return nil, err
 	}
-	return cbor.Marshal(parts)
+	return append(frames, data), nil
 }
 
 // decode decodes the messages of a frame. It skips a message that cannot be decoded.
--- a/internal/linker/odd_frame_test.go
+++ b/internal/linker/odd_frame_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -86,3 +88,22 @@
 		assert.Error(t, err, name)
 	}
 }
+
+// TestLargeQueueIsSent guards against a host that never reaches another, since the frame with all that is
+// queued for it exceeds what the other reads.
+func TestLargeQueueIsSent(t *testing.T) {
+	a, outbox := startHost(t, listen(t, "127.0.0.1:0"))
+	b, inbox := startHost(t, listen(t, "127.0.0.1:0"))
+	a.Dial(b.Self)
+	require.Eventually(t, func() bool { return countEvents[router.LinkOpened](outbox) == 1 }, 2*time.Second, time.Millisecond)
+	const count = 4_000
+	k := a.find(b.Self)
+	k.mutex.Lock()
+	for i := range count {
+		k.queue = append(k.queue, router.Message{Offer: &router.Offer{Job: router.Job{ID: fmt.Sprint(i), Count: 1, Spec: strings.Repeat("s", 4_000)}}})
+	}
+	k.mutex.Unlock()
+	k.wake <- struct{}{}
+	require.Eventually(t, func() bool { return countEvents[router.Receive](inbox) == count }, 10*time.Second, 10*time.Millisecond)
+	assert.Equal(t, 1, countEvents[router.LinkOpened](outbox))
+}
