platform, internal/router: huge times and needs do not overflow

Callers saw: a job with a Time-Budget-Ms beyond was answered at once as one whose time is over; a task with such an estimatedMs counted as short or undeclared. With an allowance near the limit, as a route or an offer may have, a job that could run was refused. A task with a need near the limit made the demand of its route negative, so that the fair shares of its service's other routes were off for some seconds.

Cause: milliseconds were multiplied, and times added, without regard to the range of 64 bits. Conversions of floats beyond that range give different values on x86-64 and arm64.

Milliseconds stop at the longest duration, and the router bounds what a job states, and what it computes from it, by nine years: sums and the multiples that it forms stay in range.

--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -15,6 +15,9 @@
 	maxVersion   = 1 << 53
 	// maxTimestamp bounds Unix times in nanoseconds: the year 2116.
 	maxTimestamp = math.MaxInt64 / 2
+	// maxDuration bounds the times that clients and other hosts state, about nine years, so that sums
+	// and small multiples do not overflow.
+	maxDuration = 1 << 58
 	// maxStrength bounds a host's processor share and link rate.
 	maxStrength = 1 << 40
 	// maxKeyBytes bounds the names of zones, which are keys in the platform's store, and
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -202,9 +202,10 @@
 func (r *Router) newJob(origin Member, o *Offer) *job {
 	j := &job{
 		spec: o.Job, origin: origin.Address, zone: cmp.Or(o.Zone, origin.Zone), token: o.Token, submissionID: o.SubmissionID, tasks: make([]task, o.Job.Count), waitingCount: o.Job.Count,
-		offeredAt: r.now, arrivedAt: r.now.Add(-o.Elapsed), deadline: r.now.Add(o.TimeLeft),
+		offeredAt: r.now, arrivedAt: r.now.Add(-boundDuration(o.Elapsed)), deadline: r.now.Add(min(o.TimeLeft, maxDuration)),
 		reoffered: o.Reoffered, previousZones: o.PreviousZones,
 	}
+	j.spec.ExpectedRunTime, j.spec.Allowance = boundDuration(j.spec.ExpectedRunTime), boundDuration(j.spec.Allowance)
 	j.SetHeapIndex(-1)
 	for i := range j.tasks {
 		j.tasks[i].state, j.tasks[i].lastRun = taskWaiting, o.RunBase
@@ -223,6 +224,9 @@
 	return j
 }
 
+// boundDuration returns a duration that cannot be negative within its bounds.
+func boundDuration(d time.Duration) time.Duration { return min(max(d, 0), maxDuration) }
+
 // matchListedRuns matches the tasks of a new job with the orphans and unmatched ends of all
 // targets: it completes tasks that are done there and adopts runs that are under way.
 func (r *Router) matchListedRuns(j *job) {
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -68,7 +68,13 @@
 	defaultRunTime = 300 * time.Millisecond
 )
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds converts seconds to a duration of at most maxDuration.
+func seconds(s float64) time.Duration { return nanoseconds(s * float64(time.Second)) }
+
+// nanoseconds converts nanoseconds to a duration of at most maxDuration.
+func nanoseconds(n float64) time.Duration {
+	return time.Duration(min(max(n, -maxDuration), maxDuration))
+}
 
 // declaredRunTime returns the declared run time of a task, or defaultRunTime if there is none.
 func declaredRunTime(spec *Job) time.Duration {
@@ -187,7 +193,7 @@
 
 // expectedRunTimeAt returns the expected run time of one task of a job at a target.
 func (r *Router) expectedRunTimeAt(j *job, t *target) time.Duration {
-	return time.Duration(float64(j.taskRunTime) * r.speedFactor(t.kind()) * r.coldFactorOf(t))
+	return nanoseconds(float64(j.taskRunTime) * r.speedFactor(t.kind()) * r.coldFactorOf(t))
 }
 
 // kind returns the target's kind, which is its first label, or "" if it has no labels.
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -70,7 +70,7 @@
 // pendingWork returns the work of a job's waiting tasks, in thousandths of a core times
 // seconds.
 func (j *job) pendingWork() float64 {
-	return float64(j.waitingCount*j.spec.Need.CPU) * j.expectedRunTime.Seconds()
+	return float64(j.waitingCount) * float64(j.spec.Need.CPU) * j.expectedRunTime.Seconds()
 }
 
 // shareOf returns the share of a job's route.
