internal/router: learned state that no run leads to does not end a route

Callers saw, after a row of learned state with a mean such as 1e300 or 700 (the logarithm of a run time in seconds): all jobs of the route were refused for overload, for good, as without runs nothing was learned that could correct it. The state spread to all hosts and into the store again. With a number of samples near the integer's limit nothing that was learned later replaced it.

Cause: only infinite and negative values were rejected.

Evidence: TestOddLearnedStateDoesNotEndRoute without the fix: for all ten odd values the state is adopted; with three of them the job is "refused overload".

Logarithms of run times and of speeds are bounded by that of the longest duration, 23, and numbers of samples by 2^40. Hosts of older builds stay within both, as their run times are durations, too. State with an odd value is not adopted; a host that lacks it learns anew.

--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"time"
 )
 
 const (
@@ -18,6 +19,11 @@
 	// maxDuration bounds the times that clients and other hosts state, about nine years, so that sums
 	// and small multiples do not overflow.
 	maxDuration = 1 << 58
+	// maxLogSeconds bounds the logarithms of run times in seconds, and those of their factors. That of
+	// the longest time.Duration is 23.
+	maxLogSeconds = 23
+	// maxSampleCount bounds the numbers of samples, so that their sum does not overflow.
+	maxSampleCount = 1 << 40
 	// maxStrength bounds a host's processor share and link rate.
 	maxStrength = 1 << 40
 	// maxKeyBytes bounds the names of zones, which are keys in the platform's store, and
@@ -144,18 +150,25 @@
 // checkLearnedState checks learned state that was received from another host.
 func checkLearnedState(routes []RouteStats, speeds []KindSpeed) error {
 	for _, stats := range routes {
-		if stats.Count < 0 || stats.Timeouts < 0 || stats.VarTimeout < 0 || !areFinite(stats.MeanX, stats.MeanY, stats.VarX, stats.CovXY, stats.MeanTimeout, stats.VarTimeout) {
+		if !stats.isSound() {
 			return &MalformedError{"a route's statistics", fmt.Sprint(stats)}
 		}
 	}
 	for _, s := range speeds {
-		if s.Count < 0 || !areFinite(s.Log) {
+		if s.Count < 0 || s.Count > maxSampleCount || !(math.Abs(s.Log) <= maxLogSeconds) {
 			return &MalformedError{"the speed of a target kind", fmt.Sprint(s)}
 		}
 	}
 	return nil
 }
 
+// isSound reports whether a route's tasks can have led to the statistics.
+func (s *RouteStats) isSound() bool {
+	return s.Count >= 0 && s.Count <= maxSampleCount && s.Timeouts >= 0 && s.Timeouts <= maxSampleCount && s.VarTimeout >= 0 &&
+		math.Abs(s.MeanX) <= maxLogSeconds && math.Abs(s.MeanY) <= maxLogSeconds && math.Abs(s.MeanTimeout) <= math.MaxInt64/float64(time.Second) &&
+		areFinite(s.VarX, s.CovXY, s.VarTimeout)
+}
+
 // areFinite reports whether no value is infinite or NaN.
 func areFinite(values ...float64) bool {
 	for _, v := range values {
--- a/internal/router/odd_job_test.go
+++ b/internal/router/odd_job_test.go
@@ -57,3 +57,32 @@
 	j.waitingCount = 2
 	assert.Positive(t, j.pendingWork())
 }
+
+// TestOddLearnedStateDoesNotEndRoute guards against a route whose jobs are all refused for good, since
+// the learned state in the store, or of another host, has numbers that no run leads to.
+func TestOddLearnedStateDoesNotEndRoute(t *testing.T) {
+	sound := RouteStats{Route: "r", Count: 100, MeanX: -2, MeanY: -2, VarX: 0.1, CovXY: 0.1, Timeouts: 100, MeanTimeout: 3, VarTimeout: 1}
+	for name, change := range map[string]func(*RouteStats, *KindSpeed){
+		"run time":           func(r *RouteStats, _ *KindSpeed) { r.MeanY = 1e300 },
+		"short run time":     func(r *RouteStats, _ *KindSpeed) { r.MeanY = -1e300 },
+		"declared run time":  func(r *RouteStats, _ *KindSpeed) { r.MeanX = -1e300 },
+		"long run time":      func(r *RouteStats, _ *KindSpeed) { r.MeanY = 700 },
+		"number":             func(r *RouteStats, _ *KindSpeed) { r.Count = math.MaxInt },
+		"number of timeouts": func(r *RouteStats, _ *KindSpeed) { r.Timeouts = math.MaxInt },
+		"timeout":            func(r *RouteStats, _ *KindSpeed) { r.MeanTimeout = 1e300 },
+		"speed":              func(_ *RouteStats, s *KindSpeed) { s.Log = 1e300 },
+		"negative speed":     func(_ *RouteStats, s *KindSpeed) { s.Log = -1e300 },
+		"number of runs":     func(_ *RouteStats, s *KindSpeed) { s.Count = math.MaxInt },
+	} {
+		odd, speed := sound, KindSpeed{Kind: "a", Count: 100}
+		change(&odd, &speed)
+		b := newHolderBed(t, 2, ClaimWon)
+		b.step(LearnedStateRead{Saved: []SaveLearnedState{{Routes: []RouteStats{odd}, Speeds: []KindSpeed{speed}}}})
+		assert.Empty(t, b.router.routeModels, name)
+		effects := b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second})
+		assert.Len(t, effectsOf[Start](effects), 2, name)
+		assert.Empty(t, answers(effects), name)
+		b.step(LearnedStateRead{Saved: []SaveLearnedState{{Routes: []RouteStats{sound}, Speeds: []KindSpeed{{Kind: "a", Count: 100}}}}})
+		assert.Contains(t, b.router.routeModels, "r", name)
+	}
+}
