internal/router: a row version that no row has is not passed on

What could happen: no host could write a claim any more while the store answered, after one heartbeat or answer had named a version such as 2^64-1 for a claim's row.

Cause: hosts keep the highest version that they hear of and send it with each claim, every 400 ms. A conflict sets it right at one host, until the next heartbeat of any other, which with some dozens of hosts is sooner than the next claim.

Evidence: TestOddRowVersionDoesNotEndClaims without the fix: expected 7, actual 0xffffffffffffffff. The endless conflict itself was not played.

Versions beyond 2^53, to which JSON is exact, are ignored, from the store and from hosts.

--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -55,13 +55,21 @@
 	return c
 }
 
+// raiseRowVersion takes over a version of the claim's row that is newer than the known one, unless
+// no row can have it.
+func (c *cell) raiseRowVersion(version uint64) {
+	if version <= maxVersion {
+		c.rowVersion = max(c.rowVersion, version)
+	}
+}
+
 // applyClaim updates a cell with a received claim. The claim with the highest token is
 // the current one. A claim that names this process is ignored unless its token is one of this
 // process, since no two processes may use the same one.
 func (r *Router) applyClaim(claim Claim) {
 	r.generation = max(r.generation, generationOf(claim.Token))
 	c := r.cell(claim.Zone)
-	c.rowVersion = max(c.rowVersion, claim.RowVersion)
+	c.raiseRowVersion(claim.RowVersion)
 	claim.RowVersion = 0
 	if claim.Token <= c.claim.Token {
 		return
@@ -223,7 +231,7 @@
 func (r *Router) handleClaimsRead(e ClaimsRead) {
 	for _, row := range e.Claims {
 		c := r.cell(row.Claim.Zone)
-		c.rowVersion = max(c.rowVersion, row.Version)
+		c.raiseRowVersion(row.Version)
 		r.applyStoredClaim(row.Claim)
 	}
 }
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -383,10 +383,10 @@
 	isPending := r.pendingClaim != nil && r.pendingClaim.token == e.Token
 	for _, row := range e.Rows {
 		c := r.cell(row.Claim.Zone)
-		if e.Result == ClaimConflict {
+		if e.Result == ClaimConflict && row.Version <= maxVersion {
 			c.rowVersion = row.Version // the store is right even where heartbeats reported a higher version
 		}
-		c.rowVersion = max(c.rowVersion, row.Version)
+		c.raiseRowVersion(row.Version)
 		if e.Result == ClaimWon && row.Claim.Token == c.claim.Token {
 			c.unwritten = false
 		}
--- a/internal/router/odd_claim_test.go
+++ b/internal/router/odd_claim_test.go
@@ -51,3 +51,25 @@
 	assert.Equal(t, own, start.Token)
 	assert.Greater(t, b.router.tokenFor(b.router.generation+1), foreign)
 }
+
+// TestOddRowVersionDoesNotEndClaims guards against claims that meet a conflict for ever, since hosts tell
+// each other a version that the claim's row never has.
+func TestOddRowVersionDoesNotEndClaims(t *testing.T) {
+	b := newOriginBed(t)
+	claim := Claim{Zone: "north", Token: 5 << (slotBits + slotUseBits), Holder: Member{Name: "x", Zone: "north", Address: "10.0.0.9:1", Incarnation: 5, Slot: 9}, RowVersion: 7}
+	tell := func(version uint64) {
+		claim.RowVersion = version
+		b.step(Receive{From: b.peer.Address, Message: Message{Heartbeat: &Heartbeat{Member: b.peer, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), Claims: []Claim{claim}}}})
+	}
+	tell(7)
+	for _, odd := range []uint64{math.MaxUint64, math.MaxInt64, 1<<53 + 1} {
+		tell(odd)
+		b.step(ClaimsRead{Claims: []StoredClaim{{Claim: claim, Version: odd}}})
+		b.step(ClaimsWritten{Token: 3, Result: ClaimConflict, Rows: []StoredClaim{{Claim: claim, Version: odd}}})
+		assert.EqualValues(t, 7, b.router.cells["north"].rowVersion, "version %d", odd)
+	}
+	tell(9)
+	assert.EqualValues(t, 9, b.router.cells["north"].rowVersion)
+	b.step(ClaimsWritten{Token: 3, Result: ClaimConflict, Rows: []StoredClaim{{Claim: claim, Version: 8}}})
+	assert.EqualValues(t, 8, b.router.cells["north"].rowVersion, "the store is right")
+}
