internal/router: a target that obeys an odd token does not take the cell with it

Callers saw, once one target of a cell obeyed a token that no host reaches (one order of another program with 2^63-1 is enough): no service in the cell, for as long as the target lived. Its holder gave the cell up at the target's first answer, claimed it again after at most 4 s, and met the same.

Cause: each rejected token counts as that of a newer holder.

A target that rejects the tokens of two claims of this host in a row, while another target of the cell accepts the second, or has not had the time to answer, counts as silent: it gets no starts, its leases are not extended, and its runs end with them.

Runs once: if there is a newer holder after all, what it started elsewhere is fenced there. A job of this host that it has adopted at the target has been offered to it by the job's host, which then tells its claim here within 400 ms or counts as lost after 500 ms; either ends the job here before the lease of its run (1 s) has run out, after which it would start again. A cell with one target is released as before.

--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -197,10 +197,10 @@
 }
 
 // handleFenced handles the answer of a target that it obeys a higher token than this
-// host's: this host releases the cell.
+// host's: this host releases the cell, unless the target is alone in that.
 func (r *Router) handleFenced(t *target, token uint64) {
 	c := r.cells[t.Zone]
-	if c == nil || !c.heldHere || c.claim.Token != token {
+	if c == nil || !c.heldHere || c.claim.Token != token || r.isFencedAlone(c, t) {
 		return
 	}
 	c.fenced = true
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -26,6 +26,7 @@
 		r.logTarget(t, "answers")
 	}
 	if !t.fenced {
+		delete(r.fencings, t.ID)
 		t.fenced, t.fencedAt = true, r.now
 		r.logTarget(t, "fenced", "token", t.token, "running", len(e.Running), "ended", len(e.Ended))
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 	queue               holder.Heap[*job]
 	targets             map[string]*target
 	sortedTargets       []*target             // sorted by ID
+	fencings            map[string]fencing    // by target ID, until the target accepts a token
 	endedJobs           []*job                // by retainedUntil, earliest first
 	unreported          map[string]*Progress  // progress that is not reported yet, by address of the job's host
 	crashes             crashLedger           // targets that crashed under tasks
@@ -118,6 +119,7 @@
 	r.requestsByJob = make(map[string]*request)
 	r.jobs = make(map[string]*job)
 	r.targets = make(map[string]*target)
+	r.fencings = make(map[string]fencing)
 	r.unreported = make(map[string]*Progress)
 	r.routeModels = make(map[string]*history)
 	r.lostJobsDropAt = make(map[string]time.Time)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -345,7 +345,9 @@
 		r.handleRunList(t, e)
 	case Fenced:
 		r.handleFenced(t, e.Token)
-		return
+		if r.targets[t.ID] != t {
+			return // released with the cell
+		}
 	case Replaced:
 		r.handleReplacedTarget(t)
 	default:
