internal/router: runs that nobody waits for are stopped in turn

What could happen after one answer of a target with tens of thousands of rows of active runs (1 MB has room for 80,000): the host ordered a stop for each at once, and again 150 ms later, each with a goroutine and a log line, until it ended for lack of memory; orders to other targets waited behind.

64 runs are stopped at a time. The leases are not extended meanwhile, so that those that wait for a stop end within a lease.

--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -162,7 +162,8 @@
 		return
 	}
 	t.orphansStoppedAt = r.now
-	for _, name := range sortedKeys(t.orphanRunNumbers) {
+	names := sortedKeys(t.orphanRunNumbers)
+	for _, name := range names[:min(len(names), maxOrphanStops)] {
 		r.stopOrphan(t, name, t.orphanRunNumbers[name])
 	}
 	r.pollTarget(t)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -120,6 +120,9 @@
 	minPollInterval = 50 * time.Millisecond
 	// stopRetryInterval is the time between two Stop orders for the same run.
 	stopRetryInterval = 150 * time.Millisecond
+	// maxOrphanStops bounds the orphans that a target is ordered to stop at once. The others follow,
+	// unless they end with their leases, which are not extended.
+	maxOrphanStops = 64
 	// failuresToEject is the number of consecutive failed runs at which a target is ejected.
 	// Tasks fail by their own fault in 2 of 1,000 runs.
 	failuresToEject = 2
