internal/router: a run that is listed for ever is asked for at intervals

Callers saw: a part of a host's processor gone for as long as one target listed a run that no stop ended, such as a row without a name.

Cause: while a target has runs that nobody waits for and no others, each answer was followed by the next renewal, which the target answers at once.

Evidence: TestRunThatIsListedForeverIsAskedForAtIntervals without the fix, at 1 ms an answer: "1007" is not less than "100" renewals in one second.

--- a/internal/router/odd_size_test.go
+++ b/internal/router/odd_size_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -28,3 +29,23 @@
 	}
 	assert.Greater(t, stops, 150)
 }
+
+// TestRunThatIsListedForeverIsAskedForAtIntervals guards against a host that asks a target as fast as it
+// answers, since the target lists a run that no stop ends.
+func TestRunThatIsListedForeverIsAskedForAtIntervals(t *testing.T) {
+	b := newHolderBed(t, 1, ClaimWon)
+	pending := effectsOf[Renew](b.advance(b.router.Bounds.IdleRenewInterval))
+	renewals := 0
+	for range 1_000 {
+		b.now = b.now.Add(time.Millisecond)
+		answered := pending
+		pending = nil
+		for _, renew := range answered {
+			renewals++
+			pending = append(pending, effectsOf[Renew](b.answerRenewal(renew, RunningTask{}))...)
+		}
+		pending = append(pending, effectsOf[Renew](b.step(Tick{}))...)
+	}
+	assert.Greater(t, renewals, 10)
+	assert.Less(t, renewals, 100, "in one second")
+}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -367,8 +367,10 @@
 	switch {
 	case t.missedRenewals > 0:
 		t.nextRenewalAt = r.now.Add(renewRetryInterval * time.Duration(min(t.missedRenewals, 10)))
-	case len(t.runs) > 0 || len(t.orphanRunNumbers) > 0:
+	case len(t.runs) > 0:
 		t.nextRenewalAt = time.Time{}
+	case len(t.orphanRunNumbers) > 0:
+		t.nextRenewalAt = r.now.Add(r.Bounds.TickInterval) // the answers do not wait
 	default:
 		t.nextRenewalAt = r.now.Add(r.Bounds.IdleRenewInterval)
 	}
