--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -28,6 +28,9 @@
 	// maxFrameBytes bounds a received frame; it has room for a configuration of thousands of
 	// routes.
 	maxFrameBytes = 8 << 20
+	// maxSentFrameBytes bounds a frame of several messages. The offers of two thousand jobs, which
+	// are repeated on a new connection, exceed maxFrameBytes.
+	maxSentFrameBytes = 1 << 20
 	// maxQueuedMessages bounds the queue of a link; further messages are dropped.
 	maxQueuedMessages = 8192
 	// dialTimeout bounds a dial, including the WebSocket handshake: several round trips
@@ -153,7 +156,7 @@
 			l.Log.V(1).Info("incoming link ended", "from", from, "error", err.Error())
 			return
 		}
-		messages, err := l.decode(data)
+		messages, err := l.decode(from, data)
 		if err != nil {
 			l.Log.Info("incoming link closed", "from", from, "reason", "unreadable frame", "bytes", len(data), "error", err.Error())
 			return
@@ -164,33 +167,50 @@
 	}
 }
 
-// encode encodes messages as one frame.
-func (l *Linker) encode(messages []router.Message) ([]byte, error) {
-	parts := make([]cbor.RawMessage, len(messages))
-	for i, m := range messages {
+// encode encodes messages as frames of at most maxSentFrameBytes, or of one message each.
+func (l *Linker) encode(messages []router.Message) (frames [][]byte, err error) {
+	var parts []cbor.RawMessage
+	size := 0
+	for _, m := range messages {
 		data, err := cbor.Marshal(m)
 		if err != nil {
 			return nil, err
 		}
-		parts[i] = data
 		l.observe("out", m, len(data))
+		if size+len(data) > maxSentFrameBytes && len(parts) > 0 {
+			if frames, err = appendFrame(frames, parts); err != nil {
+				return nil, err
+			}
+			parts, size = nil, 0
+		}
+		parts, size = append(parts, data), size+len(data)
+	}
+	return appendFrame(frames, parts)
+}
+
+func appendFrame(frames [][]byte, parts []cbor.RawMessage) ([][]byte, error) {
+	data, err := cbor.Marshal(parts)
+	if err != nil {
+		return nil, err
 	}
-	return cbor.Marshal(parts)
+	return append(frames, data), nil
 }
 
-// decode decodes the messages of a frame. It rejects the whole frame if one message cannot
-// be decoded.
-func (l *Linker) decode(data []byte) ([]router.Message, error) {
+// decode decodes the messages of a frame. It skips a message that cannot be decoded.
+func (l *Linker) decode(from string, data []byte) ([]router.Message, error) {
 	var parts []cbor.RawMessage
 	if err := cbor.Unmarshal(data, &parts); err != nil {
 		return nil, err
 	}
-	messages := make([]router.Message, len(parts))
-	for i, part := range parts {
-		if err := cbor.Unmarshal(part, &messages[i]); err != nil {
-			return nil, err
+	messages := make([]router.Message, 0, len(parts))
+	for _, part := range parts {
+		var m router.Message
+		if err := cbor.Unmarshal(part, &m); err != nil {
+			l.Log.Info("message skipped", "from", from, "reason", "unreadable; check that all hosts run the same version of the program", "bytes", len(part), "error", err.Error())
+			continue
 		}
-		l.observe("in", messages[i], len(part))
+		messages = append(messages, m)
+		l.observe("in", m, len(part))
 	}
 	return messages, nil
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -57,6 +57,21 @@
 // ErrChangesLost means that the store no longer has the requested changes.
 var ErrChangesLost = errors.New("the store no longer has the requested changes; read the whole table")
 
+// UnreadableConfigError reports that the newest configuration in the store cannot be decoded. The
+// other declarations are in force.
+type UnreadableConfigError struct {
+	Version uint64 // of the configuration's row
+	Err     error
+}
+
+// Error implements error.
+func (e *UnreadableConfigError) Error() string {
+	return fmt.Sprintf("the configuration is unreadable (%v), so that the last one stays in force; write a valid one to the store", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadableConfigError) Unwrap() error { return e.Err }
+
 // Declarations are what the operators have declared in the store, or the part of it that has
 // changed.
 type Declarations struct {
@@ -80,7 +95,7 @@
 	// they are in the store.
 	Commit(ctx context.Context, puts, removes []Row) ([]Row, error)
 	// Declarations returns what the operators have declared. If only the configuration is
-	// unreadable, it returns the rest together with the error.
+	// unreadable, it returns the rest together with an *UnreadableConfigError.
 	Declarations(ctx context.Context) (Declarations, error)
 	// Watch waits until the declarations may have changed since a version of the store, or
 	// until the wait is over, and returns the changes. The version of the changes is the one
@@ -227,17 +242,35 @@
 func (g *Registrar) decodeClaims(rows []Row) []router.StoredClaim {
 	var list []router.StoredClaim
 	for _, row := range rows {
-		stored := router.StoredClaim{Claim: router.Claim{Zone: row.Key}, Version: row.Version}
-		if len(row.Value) > 0 {
-			if err := cbor.Unmarshal(row.Value, &stored.Claim); err != nil {
-				g.Log.Error(err, "claim not readable; treating the cell as unclaimed", "zone", row.Key, "version", row.Version)
-			}
+		claim, err := decodeClaim(row)
+		if err != nil {
+			g.Log.Error(err, "claim not readable; treating the cell as unclaimed", "zone", row.Key, "version", row.Version)
 		}
-		list = append(list, stored)
+		list = append(list, router.StoredClaim{Claim: claim, Version: row.Version})
 	}
 	return list
 }
 
+// errMisplacedClaim means that the key of a row and its claim name different zones.
+var errMisplacedClaim = errors.New("the claim names another zone than its row; find out who else writes the table")
+
+// decodeClaim decodes a claim row, which is empty while the cell is unclaimed. After an error, the
+// claim has only its zone.
+func decodeClaim(row Row) (router.Claim, error) {
+	unclaimed := router.Claim{Zone: row.Key}
+	if len(row.Value) == 0 {
+		return unclaimed, nil
+	}
+	var claim router.Claim
+	if err := cbor.Unmarshal(row.Value, &claim); err != nil {
+		return unclaimed, err
+	}
+	if claim.Zone != row.Key {
+		return unclaimed, errMisplacedClaim
+	}
+	return claim, nil
+}
+
 // RemoveMember deletes a member's row unless another process uses the row.
 func (g *Registrar) RemoveMember(m router.Member) {
 	c := &storeCall{work: func(ctx context.Context) {
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -55,18 +55,33 @@
 	return c
 }
 
+// raiseRowVersion takes over a version of the claim's row that is newer than the known one, unless
+// no row can have it.
+func (c *cell) raiseRowVersion(version uint64) {
+	if version <= maxVersion {
+		c.rowVersion = max(c.rowVersion, version)
+	}
+}
+
 // applyClaim updates a cell with a received claim. The claim with the highest token is
-// the current one.
+// the current one. A claim that names this process is ignored unless its token is one of this
+// process, since no two processes may use the same one.
 func (r *Router) applyClaim(claim Claim) {
 	r.generation = max(r.generation, generationOf(claim.Token))
 	c := r.cell(claim.Zone)
-	c.rowVersion = max(c.rowVersion, claim.RowVersion)
+	c.raiseRowVersion(claim.RowVersion)
 	claim.RowVersion = 0
 	if claim.Token <= c.claim.Token {
 		return
 	}
+	if err := claim.Holder.check(); err != nil {
+		r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "holder", "zone", claim.Zone, "error", err.Error()}})
+		claim.Holder = Member{} // unknown and never reachable, so that the cell is claimed under a higher token
+	}
 	if claim.Holder.Address == r.Self.Address && claim.Holder.Incarnation == r.Self.Incarnation {
-		r.confirmClaim(c, claim.Token)
+		if claim.Token == r.tokenFor(generationOf(claim.Token)) {
+			r.confirmClaim(c, claim.Token)
+		}
 		return
 	}
 	r.emit(Decision{Action: "holder", Pairs: []any{"zone", c.zone, "holder", claim.Holder.Name, "token", claim.Token, "before", c.claim.Holder.Name}})
@@ -182,10 +197,10 @@
 }
 
 // handleFenced handles the answer of a target that it obeys a higher token than this
-// host's: this host releases the cell.
+// host's: this host releases the cell, unless the target is alone in that.
 func (r *Router) handleFenced(t *target, token uint64) {
 	c := r.cells[t.Zone]
-	if c == nil || !c.heldHere || c.claim.Token != token {
+	if c == nil || !c.heldHere || c.claim.Token != token || r.isFencedAlone(c, t) {
 		return
 	}
 	c.fenced = true
@@ -203,6 +218,10 @@
 		r.raiseIncarnation(e.Incarnation)
 	}
 	for _, m := range e.Members {
+		if err := m.check(); err != nil {
+			r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "member", "host", m.Name, "error", err.Error()}})
+			continue
+		}
 		r.addPeer(m)
 	}
 	r.handleClaimsRead(ClaimsRead{Claims: e.Claims})
@@ -213,7 +232,19 @@
 func (r *Router) handleClaimsRead(e ClaimsRead) {
 	for _, row := range e.Claims {
 		c := r.cell(row.Claim.Zone)
-		c.rowVersion = max(c.rowVersion, row.Version)
-		r.applyClaim(row.Claim)
+		c.raiseRowVersion(row.Version)
+		r.applyStoredClaim(row.Claim)
+	}
+}
+
+// applyStoredClaim applies a claim in the store. It ignores a claim whose token no host can have
+// made and returns false: the next claim replaces it, and a target that obeys its token all the
+// same rejects the orders of every host.
+func (r *Router) applyStoredClaim(claim Claim) bool {
+	if err := claim.check(); err != nil {
+		r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "claim", "zone", claim.Zone, "error", err.Error()}})
+		return false
 	}
+	r.applyClaim(claim)
+	return true
 }
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -3,15 +3,39 @@
 import (
 	"fmt"
 	"math"
+	"time"
 )
 
 const (
 	// MaxTasks bounds the tasks of a job. It is about twenty times the 460 tasks of the
 	// largest job that clients plan.
 	MaxTasks = 10_000
+	// maxRunNumber bounds the numbers of runs, and maxVersion the versions of the store and of
+	// configurations. It is the largest integer to which JSON is exact.
+	maxRunNumber = 1 << 53
+	maxVersion   = 1 << 53
+	// maxTimestamp bounds Unix times in nanoseconds: the year 2116.
+	maxTimestamp = math.MaxInt64 / 2
+	// maxDuration bounds the times that clients and other hosts state, about nine years, so that sums
+	// and small multiples do not overflow.
+	maxDuration = 1 << 58
+	// maxLogSeconds bounds the logarithms of run times in seconds, and those of their factors. That of
+	// the longest time.Duration is 23.
+	maxLogSeconds = 23
+	// maxSampleCount bounds the numbers of samples, so that their sum does not overflow.
+	maxSampleCount = 1 << 40
+	// maxStrength bounds a host's processor share and link rate.
+	maxStrength = 1 << 40
+	// maxKeyBytes bounds the names of zones, which are keys in the platform's store, and
+	// maxAddressBytes those of hosts: a domain name and a port.
+	maxKeyBytes     = 200
+	maxAddressBytes = 260
 	// maxGeneration bounds the generations of claims, so that a token stays below 2^53
 	// and is exact in JSON.
 	maxGeneration = 1 << (53 - slotBits - slotUseBits)
+	// maxStoredGeneration bounds the generations of claims in the store, so that those of the claims
+	// that follow stay below maxGeneration.
+	maxStoredGeneration = maxGeneration / 2
 )
 
 // MalformedError reports that a message from another host has an invalid value. A
@@ -48,7 +72,7 @@
 		return &MalformedError{"the resource need of a task", fmt.Sprint(j.Need)}
 	case !areFinite(j.Stretch):
 		return &MalformedError{"the stretch", fmt.Sprint(j.Stretch)}
-	case o.RunBase < 0:
+	case o.RunBase < 0 || o.RunBase > maxRunNumber:
 		return &MalformedError{"the run number base", fmt.Sprint(o.RunBase)}
 	}
 	return checkCrashes(o.Crashes)
@@ -58,6 +82,12 @@
 	if h.Generation >= maxGeneration {
 		return &MalformedError{"the generation", fmt.Sprint(h.Generation)}
 	}
+	if h.Sent < 0 || h.Sent > maxTimestamp {
+		return &MalformedError{"the time of a heartbeat", fmt.Sprint(h.Sent)}
+	}
+	if err := h.Member.check(); err != nil {
+		return err
+	}
 	for _, c := range h.Claims {
 		if generationOf(c.Token) >= maxGeneration {
 			return &MalformedError{"the token of a claim", fmt.Sprint(c.Token)}
@@ -69,6 +99,44 @@
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
+// check checks a claim that was read from the store.
+func (c *Claim) check() error {
+	if generationOf(c.Token) >= maxStoredGeneration {
+		return &MalformedError{"the token of a claim in the store", fmt.Sprint(c.Token)}
+	}
+	return nil
+}
+
+// check checks a member that names itself, or that the store or a claim names.
+func (m *Member) check() error {
+	switch {
+	case m.Incarnation < 0 || m.Incarnation > maxTimestamp:
+		return &MalformedError{"the incarnation of a host", fmt.Sprint(m.Incarnation)}
+	case m.Slot < 0 || m.Slot >= 1<<slotBits:
+		return &MalformedError{"the slot of a host", fmt.Sprint(m.Slot)}
+	case m.CPUShare < 0 || m.CPUShare > maxStrength:
+		return &MalformedError{"the processor share of a host", fmt.Sprint(m.CPUShare)}
+	case m.LinkRate < 0 || m.LinkRate > maxStrength:
+		return &MalformedError{"the link rate of a host", fmt.Sprint(m.LinkRate)}
+	case len(m.Zone) > maxKeyBytes || len(m.Address) > maxAddressBytes:
+		return &MalformedError{"the zone or address of a host", fmt.Sprintf("%d and %d bytes long", len(m.Zone), len(m.Address))}
+	}
+	return nil
+}
+
+// isOddVersion reports whether a version cannot be one of the store or of a configuration. Once adopted,
+// no later one could replace it.
+func (r *Router) isOddVersion(version uint64, kind string) bool {
+	if version <= maxVersion {
+		return false
+	}
+	r.emit(Decision{Action: "ignore", Pairs: []any{"kind", kind, "error", (&MalformedError{"the version", fmt.Sprint(version)}).Error()}})
+	return true
+}
+
+// isStorable reports whether a zone's claim can be a row of the platform's store.
+func isStorable(zone string) bool { return zone != "" && len(zone) <= maxKeyBytes }
+
 // checkCrashes checks crashes that were received from another host.
 func checkCrashes(crashes []Crash) error {
 	for _, c := range crashes {
@@ -82,18 +150,25 @@
 // checkLearnedState checks learned state that was received from another host.
 func checkLearnedState(routes []RouteStats, speeds []KindSpeed) error {
 	for _, stats := range routes {
-		if stats.Count < 0 || stats.Timeouts < 0 || stats.VarTimeout < 0 || !areFinite(stats.MeanX, stats.MeanY, stats.VarX, stats.CovXY, stats.MeanTimeout, stats.VarTimeout) {
+		if !stats.isSound() {
 			return &MalformedError{"a route's statistics", fmt.Sprint(stats)}
 		}
 	}
 	for _, s := range speeds {
-		if s.Count < 0 || !areFinite(s.Log) {
+		if s.Count < 0 || s.Count > maxSampleCount || !(math.Abs(s.Log) <= maxLogSeconds) {
 			return &MalformedError{"the speed of a target kind", fmt.Sprint(s)}
 		}
 	}
 	return nil
 }
 
+// isSound reports whether a route's tasks can have led to the statistics.
+func (s *RouteStats) isSound() bool {
+	return s.Count >= 0 && s.Count <= maxSampleCount && s.Timeouts >= 0 && s.Timeouts <= maxSampleCount && s.VarTimeout >= 0 &&
+		math.Abs(s.MeanX) <= maxLogSeconds && math.Abs(s.MeanY) <= maxLogSeconds && math.Abs(s.MeanTimeout) <= math.MaxInt64/float64(time.Second) &&
+		areFinite(s.VarX, s.CovXY, s.VarTimeout)
+}
+
 // areFinite reports whether no value is infinite or NaN.
 func areFinite(values ...float64) bool {
 	for _, v := range values {
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -22,6 +22,9 @@
 	// claimWriteInterval is the delay between two attempts to write a claim that the
 	// store did not take.
 	claimWriteInterval = 500 * time.Millisecond
+	// maxClaimRows bounds the claims that are written at once. Each is two of the 100 entries of a
+	// transaction in the platform's store: the expected version and the new row.
+	maxClaimRows = 50
 )
 
 // candidates returns the members that can hold a zone's cell, best first. Hosts that
@@ -61,9 +64,9 @@
 
 // updateTotalTargets records the number of targets in a version of the directory. Hosts
 // that do not receive the directory itself use the number to agree on whether each zone
-// has a holder of its own.
+// has a holder of its own. Values that no list can have are ignored.
 func (r *Router) updateTotalTargets(version uint64, total int) {
-	if version > r.totalTargetsVersion {
+	if version > r.totalTargetsVersion && version <= maxVersion && total >= 0 {
 		r.totalTargetsVersion, r.totalTargets = version, total
 		r.updateHolderPerZone()
 	}
@@ -84,12 +87,12 @@
 	}
 	var zones []string
 	for _, zone := range sortedKeys(r.cells) {
-		if r.shouldClaim(r.cells[zone]) {
+		if isStorable(zone) && r.shouldClaim(r.cells[zone]) {
 			zones = append(zones, zone)
 		}
 	}
 	if len(zones) > 0 {
-		r.startClaim(zones)
+		r.startClaim(zones[:min(len(zones), maxClaimRows)]) // the others follow
 	}
 }
 
@@ -380,16 +383,15 @@
 	isPending := r.pendingClaim != nil && r.pendingClaim.token == e.Token
 	for _, row := range e.Rows {
 		c := r.cell(row.Claim.Zone)
-		if e.Result == ClaimConflict {
+		if e.Result == ClaimConflict && row.Version <= maxVersion {
 			c.rowVersion = row.Version // the store is right even where heartbeats reported a higher version
 		}
-		c.rowVersion = max(c.rowVersion, row.Version)
+		c.raiseRowVersion(row.Version)
 		if e.Result == ClaimWon && row.Claim.Token == c.claim.Token {
 			c.unwritten = false
 		}
 		if row.Claim.Token > c.claim.Token && (e.Result != ClaimWon || !isPending) {
-			hasNewer = true
-			r.applyClaim(row.Claim)
+			hasNewer = r.applyStoredClaim(row.Claim) || hasNewer
 		}
 	}
 	return hasNewer
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -26,6 +26,7 @@
 		r.logTarget(t, "answers")
 	}
 	if !t.fenced {
+		delete(r.fencings, t.ID)
 		t.fenced, t.fencedAt = true, r.now
 		r.logTarget(t, "fenced", "token", t.token, "running", len(e.Running), "ended", len(e.Ended))
 	}
@@ -35,9 +36,11 @@
 			r.handleEnd(t, end)
 		}
 	}
-	r.sendProgress()                      // before the next renewal, whose acknowledgement lets the target discard the ends
-	if e.Clock.Millis >= t.runListClock { // an answer on another connection may have overtaken this one
-		t.runListClock = e.Clock.Millis
+	r.sendProgress() // before the next renewal, whose acknowledgement lets the target discard the ends
+	// An answer on another connection may have overtaken this one, unless it had arrived before this
+	// one was requested.
+	if e.Clock.Millis >= t.runListClock || e.SentAt.After(t.runListAt) {
+		t.runListClock, t.runListAt = e.Clock.Millis, r.now
 		r.reconcileRuns(t, e)
 		r.stopOrphans(t)
 	}
@@ -73,8 +76,29 @@
 	t.unmatchedEnds[end.Task] = end
 }
 
-// reconcileRuns compares a target's run list with the runs that are known here.
+// reconcileRuns compares a target's run list with the runs that are known here. From a partial
+// list it does not follow that a run is over.
 func (r *Router) reconcileRuns(t *target, e RenewAnswered) {
+	if e.Partial && !t.hasUnreadableRuns {
+		r.logTarget(t, "unreadable", "running", len(e.Running))
+	}
+	t.hasUnreadableRuns = e.Partial
+	if !e.Partial {
+		r.endUnlistedRuns(t, e)
+	}
+	for _, entry := range e.Running {
+		if n := t.runs[entry.Task]; n != nil && n.number >= entry.Run {
+			if n.number == entry.Run {
+				r.handleRunProgress(n, entry.Percent)
+			}
+			continue
+		}
+		r.handleUnknownRun(t, entry)
+	}
+}
+
+// endUnlistedRuns ends the runs and drops the orphans that a target's run list lacks.
+func (r *Router) endUnlistedRuns(t *target, e RenewAnswered) {
 	listed := make(map[string]int, len(e.Running))
 	for _, entry := range e.Running {
 		listed[entry.Task] = entry.Run
@@ -93,15 +117,6 @@
 			delete(t.orphanRunNumbers, name)
 		}
 	}
-	for _, entry := range e.Running {
-		if n := t.runs[entry.Task]; n != nil && n.number >= entry.Run {
-			if n.number == entry.Run {
-				r.handleRunProgress(n, entry.Percent)
-			}
-			continue
-		}
-		r.handleUnknownRun(t, entry)
-	}
 }
 
 // handleUnknownRun handles a run in a target's run list that is not known here: a previous holder
@@ -126,7 +141,10 @@
 	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	r.transitionTask(j, index, taskStart)
-	k.run, k.lastRun, j.mayHaveStarted = n, max(k.lastRun, entry.Run), true
+	k.run, j.mayHaveStarted = n, true
+	if entry.Run <= maxRunNumber {
+		k.lastRun = max(k.lastRun, entry.Run)
+	}
 	t.runs[entry.Task] = n
 	t.used = t.used.plus(n.need)
 	delete(t.orphanRunNumbers, entry.Task)
@@ -144,7 +162,8 @@
 		return
 	}
 	t.orphansStoppedAt = r.now
-	for _, name := range sortedKeys(t.orphanRunNumbers) {
+	names := sortedKeys(t.orphanRunNumbers)
+	for _, name := range names[:min(len(names), maxOrphanStops)] {
 		r.stopOrphan(t, name, t.orphanRunNumbers[name])
 	}
 	r.pollTarget(t)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,7 @@
 	queue               holder.Heap[*job]
 	targets             map[string]*target
 	sortedTargets       []*target                // sorted by ID
+	fencings            map[string]fencing       // by target ID, until the target accepts a token
 	endedJobs           []*job                   // by retainedUntil, earliest first
 	unreported          map[string]*Progress     // progress that is not reported yet, by address of the job's host
 	crashes             crashLedger              // targets that crashed under tasks
@@ -120,6 +121,7 @@
 	r.requestsByJob = make(map[string]*request)
 	r.jobs = make(map[string]*job)
 	r.targets = make(map[string]*target)
+	r.fencings = make(map[string]fencing)
 	r.unreported = make(map[string]*Progress)
 	r.routeModels = make(map[string]*history)
 	r.lostJobsDropAt = make(map[string]time.Time)
@@ -286,7 +288,7 @@
 
 // adoptConfig replaces the configuration if c has a higher version.
 func (r *Router) adoptConfig(c *Config, source string) {
-	if c == nil || r.config != nil && c.Version <= r.config.Version {
+	if c == nil || r.config != nil && c.Version <= r.config.Version || r.isOddVersion(c.Version, "config") {
 		return
 	}
 	r.config, r.configAdoptedAt = c, r.now
@@ -311,14 +313,15 @@
 // numbers of the step and of the repetition; a job has one of each.
 func taskName(job string, task int) string { return job + ".0.0." + strconv.Itoa(task) }
 
-// parseTaskName is the inverse of taskName.
+// parseTaskName is the inverse of taskName. It returns false for any other name that a target
+// may list.
 func parseTaskName(name string) (job string, task int, ok bool) {
 	parts := strings.Split(name, ".")
 	if len(parts) != 4 {
 		return "", 0, false
 	}
 	task, err := strconv.Atoi(parts[3])
-	return parts[0], task, err == nil
+	return parts[0], task, err == nil && task >= 0 && name == taskName(parts[0], task)
 }
 
 // sortedKeys returns the keys of a map in ascending order. Iterating in this order
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -34,6 +34,7 @@
 	orphanRunNumbers map[string]int
 	orphansStoppedAt time.Time // last time that the orphans were ordered to stop
 	runListClock     int64     // the target's clock at its newest run list, in milliseconds
+	runListAt        time.Time // when that list was received
 	// unmatchedEnds are ends of tasks whose job was not offered to this host yet.
 	unmatchedEnds  map[string]End
 	fencedAt       time.Time // when it accepted the token
@@ -54,6 +55,9 @@
 	onTrial      bool      // it gets one task at a time until one succeeds
 	evacuated    bool      // its zone is evacuated
 	coldUntil    time.Time // it is slow before this time
+	// hasUnreadableRuns is set while the target lists runs that cannot be decoded. Nothing is known of
+	// them, so that the target is treated as one with orphans that cannot be stopped.
+	hasUnreadableRuns bool
 }
 
 // run is one start of a task at a target.
@@ -116,6 +120,9 @@
 	minPollInterval = 50 * time.Millisecond
 	// stopRetryInterval is the time between two Stop orders for the same run.
 	stopRetryInterval = 150 * time.Millisecond
+	// maxOrphanStops bounds the orphans that a target is ordered to stop at once. The others follow,
+	// unless they end with their leases, which are not extended.
+	maxOrphanStops = 64
 	// failuresToEject is the number of consecutive failed runs at which a target is ejected.
 	// Tasks fail by their own fault in 2 of 1,000 runs.
 	failuresToEject = 2
@@ -238,9 +245,12 @@
 	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasOutdatedEntry() {
 		return false
 	}
-	return len(t.orphanRunNumbers) == 0
+	return !t.hasOrphans()
 }
 
+// hasOrphans reports whether a target has runs that are not known here.
+func (t *target) hasOrphans() bool { return len(t.orphanRunNumbers) > 0 || t.hasUnreadableRuns }
+
 // hasOutdatedEntry reports whether the directory has the entry of an earlier process of the
 // target, whose kind and capacity may differ.
 func (t *target) hasOutdatedEntry() bool { return t.StartedAt > 0 && t.incarnation > t.StartedAt }
@@ -306,7 +316,7 @@
 
 func (r *Router) sendRenew(t *target, wait time.Duration, poll bool) {
 	leaseEnd := int64(0)
-	if len(t.orphanRunNumbers) == 0 && t.missedRenewals == 0 {
+	if !t.hasOrphans() && t.missedRenewals == 0 {
 		// Leases are not extended while the target has orphans, which would run on, or is
 		// unresponsive, since its tasks can start elsewhere only after the leases have expired.
 		leaseEnd = t.leaseEnd(r.now, r.Bounds.LeaseDuration)
@@ -338,7 +348,9 @@
 		r.handleRunList(t, e)
 	case Fenced:
 		r.handleFenced(t, e.Token)
-		return
+		if r.targets[t.ID] != t {
+			return // released with the cell
+		}
 	case Replaced:
 		r.handleReplacedTarget(t)
 	default:
@@ -355,8 +367,10 @@
 	switch {
 	case t.missedRenewals > 0:
 		t.nextRenewalAt = r.now.Add(renewRetryInterval * time.Duration(min(t.missedRenewals, 10)))
-	case len(t.runs) > 0 || len(t.orphanRunNumbers) > 0:
+	case len(t.runs) > 0:
 		t.nextRenewalAt = time.Time{}
+	case len(t.orphanRunNumbers) > 0:
+		t.nextRenewalAt = r.now.Add(r.Bounds.TickInterval) // the answers do not wait
 	default:
 		t.nextRenewalAt = r.now.Add(r.Bounds.IdleRenewInterval)
 	}
