internal/registrar: a host does not take an incarnation that its peers ignore

What could happen: a host whose row another writer had left with an incarnation near the integer's limit, or below zero, was ignored by all its peers for good. It took an incarnation above the one in its row, which the peers' check rejects, or wrote a small one.

Cause: the check of a member's values and the rise of the incarnation came into being side by side.

A row whose member no host can be is treated as an unreadable one: its slot stays unused.

--- a/internal/registrar/enroller.go
+++ b/internal/registrar/enroller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -102,7 +101,11 @@
 		return taken, true
 	}
 	var found member
-	if err := cbor.Unmarshal(row.Value, &found); err != nil {
+	err := cbor.Unmarshal(row.Value, &found)
+	if err == nil {
+		err = found.Member.Check()
+	}
+	if err != nil {
 		// A running host may use the slot, and tokens must differ between processes.
 		r.registrar.Log.Error(err, "member not readable; leaving its slot unused; delete the row once no host uses it", "key", row.Key, "version", row.Version)
 		return occupation{}, false
@@ -114,9 +117,7 @@
 		return occupation{slotUses: found.SlotUses, incarnation: r.sent}, true // written by a call whose answer was lost
 	}
 	taken.slotUses = found.SlotUses + 1
-	if found.Member.Incarnation < math.MaxInt64-incarnationStep {
-		taken.incarnation = max(self.Incarnation, found.Member.Incarnation+incarnationStep)
-	}
+	taken.incarnation = max(self.Incarnation, found.Member.Incarnation+incarnationStep)
 	return taken, true
 }
 
--- a/internal/registrar/odd_row_test.go
+++ b/internal/registrar/odd_row_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
@@ -67,3 +68,18 @@
 		assert.True(t, bytes.Equal(value, m.rows[MembersTable+rowKey(slot)].Value), name)
 	}
 }
+
+// TestIncarnationOfOddMemberRowIsNotExceeded guards against a host that its peers ignore for good, since
+// it took an incarnation above one that no process can have.
+func TestIncarnationOfOddMemberRowIsNotExceeded(t *testing.T) {
+	for _, odd := range []int64{math.MaxInt64, math.MaxInt64/2 + 1, -1} {
+		m := &memoryTable{rows: make(map[string]Row)}
+		slot := preferredSlot("10.0.0.1:1")
+		value, err := cbor.Marshal(member{Member: router.Member{Address: "10.0.0.1:1", Slot: slot, Incarnation: odd}, SlotUses: 1})
+		require.NoError(t, err)
+		m.rows[MembersTable+rowKey(slot)] = Row{Table: MembersTable, Key: rowKey(slot), Value: value, Version: 99}
+		got := register(t, m, "10.0.0.1:1", 100)
+		assert.NotEqual(t, slot, got.Slot)
+		assert.Equal(t, int64(100), got.Incarnation)
+	}
+}
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -74,7 +74,7 @@
 	if claim.Token <= c.claim.Token {
 		return
 	}
-	if err := claim.Holder.check(); err != nil {
+	if err := claim.Holder.Check(); err != nil {
 		r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "holder", "zone", claim.Zone, "error", err.Error()}})
 		claim.Holder = Member{} // unknown and never reachable, so that the cell is claimed under a higher token
 	}
@@ -218,7 +218,7 @@
 		r.raiseIncarnation(e.Incarnation)
 	}
 	for _, m := range e.Members {
-		if err := m.check(); err != nil {
+		if err := m.Check(); err != nil {
 			r.emit(Decision{Action: "ignore", Pairs: []any{"kind", "member", "host", m.Name, "error", err.Error()}})
 			continue
 		}
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -85,7 +85,7 @@
 	if h.Sent < 0 || h.Sent > maxTimestamp {
 		return &MalformedError{"the time of a heartbeat", fmt.Sprint(h.Sent)}
 	}
-	if err := h.Member.check(); err != nil {
+	if err := h.Member.Check(); err != nil {
 		return err
 	}
 	for _, c := range h.Claims {
@@ -107,8 +107,9 @@
 	return nil
 }
 
-// check checks a member that names itself, or that the store or a claim names.
-func (m *Member) check() error {
+// Check returns a *MalformedError if no host can be the member, which names itself or is named by the
+// store or a claim.
+func (m *Member) Check() error {
 	switch {
 	case m.Incarnation < 0 || m.Incarnation > maxTimestamp:
 		return &MalformedError{"the incarnation of a host", fmt.Sprint(m.Incarnation)}
