--- a/internal/registrar/odd_row_test.go
+++ b/internal/registrar/odd_row_test.go
@@ -67,3 +67,19 @@
 		assert.True(t, bytes.Equal(value, m.rows[MembersTable+rowKey(slot)].Value), name)
 	}
 }
+
+// FuzzClaimRow decodes any value of a claim's row. The claim must be that of the row's zone.
+func FuzzClaimRow(f *testing.F) {
+	sound, err := cbor.Marshal(router.Claim{Zone: "north", Token: 9, Holder: router.Member{Name: "a", Zone: "north", Address: "10.0.0.1:1", Incarnation: 5, Slot: 3}})
+	require.NoError(f, err)
+	f.Add(sound)
+	f.Add([]byte{0xa1, 0x01, 0x65, 's', 'o', 'u', 't', 'h'})
+	f.Add([]byte{0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		claim, err := decodeClaim(Row{Table: ClaimsTable, Key: "north", Value: value, Version: 5})
+		assert.Equal(t, "north", claim.Zone)
+		if err != nil {
+			assert.Equal(t, router.Claim{Zone: "north"}, claim)
+		}
+	})
+}
