internal/router: a late copy does not take a job from the host that offered it last

What callers could see: a client that submits its job again through a second host gets no answer before its time is over, and the job is stopped. The first host's withdrawal was lost with a connection; a late copy of its offer takes the job back, the verdict goes to the first host, and the repeated withdrawal ends the job.

Cause: of two hosts that offer a job, the one whose offer was read last counted as that of the client, whatever the order of the submissions.

Evidence: found in a review of the fixes. Without the fix TestLateCopyDoesNotTakeVerdictFromLaterHost fails: expected "10.0.0.9:1", actual "10.0.0.8:1".

A submission that another host's has replaced counts as an earlier one; its offers are answered as such and its withdrawals do not end the job.

--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -18,7 +18,8 @@
 	zone         string // zone of the cell for which the job was offered
 	token        uint64 // token of the claim under which the job was offered
 	submissionID int64  // identifies the submission; see Offer.SubmissionID
-	// earlierSubmissions are those that were answered before this one was offered.
+	// earlierSubmissions are those that were answered before this one was offered, or that the client has
+	// replaced by one through another host.
 	earlierSubmissions []submission
 	tasks              []task
 	waitingCount       int // tasks in state taskWaiting
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -95,6 +95,9 @@
 	if o.Token > j.token {
 		j.offeredAt = r.now // the cells that this host has acquired since may be used
 	}
+	if s := (submission{j.origin, j.submissionID}); origin != j.origin && !slices.Contains(j.earlierSubmissions, s) {
+		j.earlierSubmissions = append(j.earlierSubmissions, s)
+	}
 	j.origin, j.submissionID, j.token = origin, o.SubmissionID, max(j.token, o.Token)
 	j.deadline = later(j.deadline, r.now.Add(o.TimeLeft))
 	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "offered", o.Token, "resent", o.Reoffered, "over", j.ended, "outcome", j.verdict.Outcome}})
