internal/router: jobs of a host that takes a higher incarnation are not answered unknown

What callers saw: the jobs that a host had offered before it took a higher incarnation (after its clock had been set back) were answered 502 at once, although they were offered again for which there was time.

Cause: holders take the raised incarnation for a restart, end the host's jobs and list their submissions as earlier ones. The host offered the jobs again as the same submissions, which the holders answer as late copies. And after a peer had told the incarnation, offers could leave before the heartbeat that announces it, so that their jobs were ended as those of the former process.

A job that is offered again under a raised incarnation is a submission with an ID of its own, one nanosecond above the former. The holder takes it as it takes the jobs that a client submits again: it waits for the runs that it has stopped, and a refusal counts as unknown. What holders say about the former submission does not count, unless the job is complete. The heartbeat goes first.

--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -202,6 +202,7 @@
 	p.lastHeartbeatReceivedAt, p.unresponsiveSince, p.exited = r.now, time.Time{}, false
 	if heartbeat.ReceiverIncarnation > r.Self.Incarnation && heartbeat.ReceiverIncarnation < math.MaxInt64 {
 		r.raiseIncarnation(heartbeat.ReceiverIncarnation + 1)
+		r.sendHeartbeats() // before the offers that name it
 	}
 	if heartbeat.WantsHeartbeats {
 		p.heartbeatsRequestedAt = r.now
@@ -253,7 +254,8 @@
 }
 
 // raiseIncarnation gives this process a higher incarnation. Peers that know the lower one take it for
-// a restart and end the jobs that they were offered, so these are offered again.
+// a restart and end the jobs that they were offered, so these are offered again, as submissions that
+// the peers do not know.
 func (r *Router) raiseIncarnation(incarnation int64) {
 	if incarnation <= r.Self.Incarnation {
 		return
@@ -264,9 +266,13 @@
 		p.claimsSentAt = time.Time{} // the next heartbeat names this process in full
 	}
 	for _, q := range r.requestsByJob {
-		if q.holder != "" && q.holder != r.Self.Address {
+		if q.holder == r.Self.Address {
+			continue
+		}
+		if q.holder != "" {
 			r.recordHolderChange(q)
 		}
+		q.arrivedAt = q.arrivedAt.Add(time.Nanosecond) // another submission ID
 	}
 }
 
