internal/router, internal/registrar: a host does not rise above the largest incarnation that peers accept

What could happen: a host was ignored by all its peers for as long as its process ran, if its row in the store, written by another writer, or a peer named an incarnation at the upper bound, or less than a second below it in the row. The host took one above, which the peers' check rejects.

Cause: the checks bound the incarnation that is read, and not the one above it that is taken.

A row whose next incarnation no host can have is unreadable, so that its slot stays unused, and a peer's word counts only below the bound.

--- a/internal/registrar/enroller.go
+++ b/internal/registrar/enroller.go
@@ -1,6 +1,7 @@
 package registrar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -103,7 +104,9 @@
 	var found member
 	err := cbor.Unmarshal(row.Value, &found)
 	if err == nil {
-		err = found.Member.Check()
+		next := found.Member
+		next.Incarnation += incarnationStep
+		err = cmp.Or(found.Member.Check(), next.Check())
 	}
 	if err != nil {
 		// A running host may use the slot, and tokens must differ between processes.
--- a/internal/registrar/odd_row_test.go
+++ b/internal/registrar/odd_row_test.go
@@ -72,7 +72,7 @@
 // TestIncarnationOfOddMemberRowIsNotExceeded guards against a host that its peers ignore for good, since
 // it took an incarnation above one that no process can have.
 func TestIncarnationOfOddMemberRowIsNotExceeded(t *testing.T) {
-	for _, odd := range []int64{math.MaxInt64, math.MaxInt64/2 + 1, -1} {
+	for _, odd := range []int64{math.MaxInt64, math.MaxInt64/2 + 1, math.MaxInt64 / 2, math.MaxInt64/2 - incarnationStep + 1, -1} {
 		m := &memoryTable{rows: make(map[string]Row)}
 		slot := preferredSlot("10.0.0.1:1")
 		value, err := cbor.Marshal(member{Member: router.Member{Address: "10.0.0.1:1", Slot: slot, Incarnation: odd}, SlotUses: 1})
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"time"
 )
 
@@ -200,7 +199,7 @@
 // knows it.
 func (r *Router) recordHeartbeat(p *peer, heartbeat *Heartbeat) {
 	p.lastHeartbeatReceivedAt, p.unresponsiveSince, p.exited = r.now, time.Time{}, false
-	if heartbeat.ReceiverIncarnation > r.Self.Incarnation && heartbeat.ReceiverIncarnation < math.MaxInt64 {
+	if heartbeat.ReceiverIncarnation > r.Self.Incarnation && heartbeat.ReceiverIncarnation < maxTimestamp {
 		r.raiseIncarnation(heartbeat.ReceiverIncarnation + 1)
 		r.sendHeartbeats() // before the offers that name it
 	}
--- a/internal/router/set_back_test.go
+++ b/internal/router/set_back_test.go
@@ -145,8 +145,9 @@
 func TestIncarnationRisesAboveThatOfFormerProcess(t *testing.T) {
 	b := newOriginBed(t)
 	b.router.Self.Incarnation = 7
-	for _, test := range []struct{ known, want int64 }{{0, 7}, {6, 7}, {7, 7}, {8, 9}, {8, 9}, {math.MaxInt64, 9}} {
+	for _, test := range []struct{ known, want int64 }{{0, 7}, {6, 7}, {7, 7}, {8, 9}, {8, 9}, {math.MaxInt64, 9}, {maxTimestamp, 9}, {maxTimestamp - 1, maxTimestamp}} {
 		b.step(Receive{From: b.peer.Address, Message: Message{Heartbeat: &Heartbeat{Member: b.peer, Sent: b.now.UnixNano(), ReceiverIncarnation: test.known}}})
 		assert.Equal(t, test.want, b.router.Self.Incarnation, "known as %d", test.known)
+		assert.NoError(t, b.router.Self.Check(), "known as %d", test.known)
 	}
 }
