internal/router: a holder that takes a higher incarnation claims its cells again

What could happen: a host hears from a peer of a higher incarnation of itself, and takes one above, when it holds cells already (its row in the store is that of another slot, or was removed). No other host finds it as the holder then, since the claim names the former incarnation: its peers claim the cell from it, and where it is the only host of a zone, the other zones' hosts cannot use that zone's targets any more.

Cause: a claim names the incarnation at the time of the claim, and hosts compare it with that of the peer.

Evidence: without the fix TestHolderThatTakesHigherIncarnationIsReachable fails: "Expected value not to be nil", the holder as another host sees it.

A holder whose claim names a former incarnation claims the cell again, under a higher token. Its runs go on, as after any repeated claim.

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -128,9 +128,16 @@
 	return false
 }
 
-// shouldClaim reports whether this host should claim a cell now.
+// shouldClaim reports whether this host should claim a cell now. It claims a held cell again if the claim
+// names a former incarnation, under which no peer reaches the holder.
 func (r *Router) shouldClaim(c *cell) bool {
-	if c.heldHere || r.now.Before(c.noClaimUntil) || !c.holderlessSince.IsZero() && r.mayHolderReturn(c) {
+	if r.now.Before(c.noClaimUntil) {
+		return false
+	}
+	if c.heldHere {
+		return c.claim.Holder.Incarnation != r.Self.Incarnation
+	}
+	if !c.holderlessSince.IsZero() && r.mayHolderReturn(c) {
 		return false
 	}
 	candidates := r.candidates(c.zone)
--- a/internal/router/raised_test.go
+++ b/internal/router/raised_test.go
@@ -101,3 +101,27 @@
 		})
 	}
 }
+
+// TestHolderThatTakesHigherIncarnationIsReachable guards against a cell whose holder no other host finds,
+// since its claim names the former incarnation.
+func TestHolderThatTakesHigherIncarnationIsReachable(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	start, _ := b.startTask("j", Running)
+	other := Member{Name: "o", Zone: "south", Address: "10.0.0.8:1", Incarnation: 1, Slot: 8}
+	effects := b.step(Receive{From: other.Address, Message: Message{Heartbeat: &Heartbeat{Member: other, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), ReceiverIncarnation: 6}}})
+	writes := effectsOf[WriteClaims](append(effects, b.step(Tick{})...))
+	require.Len(t, writes, 1)
+	effects = b.step(ClaimsWritten{Token: writes[0].Token, Result: ClaimWon, Rows: writes[0].Rows})
+	assert.Empty(t, effectsOf[Stop](effects))
+	assert.Empty(t, effectsOf[Start](effects))
+	assert.Contains(t, b.router.targets[start.Target.ID].runs, start.Task)
+
+	router := &Router{Self: other, Bounds: Standard()}
+	heartbeat := b.router.newHeartbeat()
+	heartbeat.Claims, heartbeat.Echo = b.router.knownClaims(), b.now.UnixNano()
+	router.Step(b.now, Tick{})
+	router.Step(b.now, ClaimsRead{Claims: writes[0].Rows})
+	router.Step(b.now, Receive{From: b.router.Self.Address, Message: Message{Heartbeat: &heartbeat}})
+	assert.Equal(t, b.router.Self.Incarnation, int64(7))
+	assert.NotNil(t, router.reachableHolder("north"))
+}
