internal/router: a test that rejections of tokens count in a row only

A target that rejects the tokens of two claims and is alone in that does not take the cell with it. That the count starts again when the target accepts a token was not tested: with the line removed all tests of the package passed, though a holder would then hold on to a cell that another host has claimed, if the first target to obey that host was the first in an earlier takeover.

Evidence: with the line removed, TestTargetThatObeyedSinceItsLastRejectionTakesTheCell fails in the rounds after the first ("Should be false", the cell is held).

The comment said that a second target makes the host release the cell in any case. It does so until it counts as such a target, too: with two of three targets that obey an odd token the cell is held after 5 s.

--- a/internal/router/fencing.go
+++ b/internal/router/fencing.go
@@ -16,7 +16,8 @@
 // counts as unresponsive: its runs end with their leases, and it gets no starts.
 //
 // The other targets obey this host, and none of them starts what another host orders under a lower
-// token. A second target that rejects the token makes this host release the cell.
+// token. Another target that rejects the token makes this host release the cell, until it counts as such a
+// target too.
 func (r *Router) isFencedAlone(c *cell, t *target) bool {
 	f := r.fencings[t.ID]
 	if f.token != c.claim.Token {
--- a/internal/router/fencing_target_test.go
+++ b/internal/router/fencing_target_test.go
@@ -73,3 +73,16 @@
 	assert.True(t, b.router.cells["north"].heldHere)
 	assert.Len(t, effectsOf[Start](b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second})), 2)
 }
+
+// TestTargetThatObeyedSinceItsLastRejectionTakesTheCell guards against a host that holds on to a cell which another
+// one has claimed, since a target that was the first to obey that one was so before.
+func TestTargetThatObeyedSinceItsLastRejectionTakesTheCell(t *testing.T) {
+	b := newHolderBed(t, 3, ClaimWon)
+	for round := range 3 {
+		b.answerAll(5*time.Second, func(string) bool { return false })
+		require.True(t, b.router.cells["north"].heldHere, "round %d", round)
+		c, token := b.router.cells["north"], b.router.cells["north"].claim.Token
+		b.step(RenewAnswered{Target: "p", Token: token, SentAt: b.now, Result: Fenced})
+		assert.False(t, c.heldHere, "round %d", round)
+	}
+}
