--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -125,9 +125,9 @@
 	return nil
 }
 
-// isOddVersion reports whether a version cannot be one of the store or of a configuration. Once adopted,
+// isInvalidVersion reports whether a version cannot be one of the store or of a configuration. Once adopted,
 // no later one could replace it.
-func (r *Router) isOddVersion(version uint64, kind string) bool {
+func (r *Router) isInvalidVersion(version uint64, kind string) bool {
 	if version <= maxVersion {
 		return false
 	}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -156,7 +156,7 @@
 
 // adoptDirectory replaces the current directory if d is newer and differs from it.
 func (r *Router) adoptDirectory(d Directory, requestedAt time.Time, source directorySource) {
-	if d.Version < r.directory.Version || d.Version == r.directory.Version && !r.holdsUnlistedCell() || r.isOddVersion(d.Version, "directory") {
+	if d.Version < r.directory.Version || d.Version == r.directory.Version && !r.holdsUnlistedCell() || r.isInvalidVersion(d.Version, "directory") {
 		return
 	}
 	r.dropForeignTargets(&d)
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -36,7 +36,7 @@
 // that arrives late, from a delayed message or an outdated read of the store, has a lower
 // version and is ignored.
 func (r *Router) adoptEvacuations(e Evacuations, source string) {
-	if e.Version <= r.evacuations.Version || r.isOddVersion(e.Version, "evacuations") {
+	if e.Version <= r.evacuations.Version || r.isInvalidVersion(e.Version, "evacuations") {
 		return
 	}
 	before := r.evacuations
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -288,7 +288,7 @@
 
 // adoptConfig replaces the configuration if c has a higher version.
 func (r *Router) adoptConfig(c *Config, source string) {
-	if c == nil || r.config != nil && c.Version <= r.config.Version || r.isOddVersion(c.Version, "config") {
+	if c == nil || r.config != nil && c.Version <= r.config.Version || r.isInvalidVersion(c.Version, "config") {
 		return
 	}
 	r.config, r.configAdoptedAt = c, r.now
