--- a/internal/router/late_copy_test.go
+++ b/internal/router/late_copy_test.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -94,17 +93,10 @@
 // that it is refused, by a copy that a host of another zone sent before it was paused.
 func TestCopyFromSilentHostOfOtherZoneDoesNotStart(t *testing.T) {
 	for _, zone := range []string{"north", "south"} {
-		b := newHolderBed(t, 1, ClaimWon)
-		b.router.Bounds.MaxSharedTargets = 0 // a holder for each zone
-		b.router.totalTargets = 1
-		for i := range 12 {
-			b.receiveHeartbeatFrom(fmt.Sprintf("10.0.1.%d:1", i))
-		}
-		b.advance(b.router.Bounds.HeartbeatInterval)
+		b := newSplitHolderBed(t)
 		origin := Member{Name: "o", Zone: zone, Address: "10.0.0.9:1", Incarnation: 5, Slot: 10}
 		heartbeat := Heartbeat{Member: origin, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), WantsHeartbeats: true}
 		b.step(Receive{From: origin.Address, Message: Message{Heartbeat: &heartbeat}})
-		require.True(t, b.router.holderPerZone)
 		b.evacuate(5, "north")
 		offer := Offer{Job: twoTaskJob("j"), TimeLeft: time.Second, Elapsed: time.Millisecond, SubmissionID: b.now.UnixNano(), Zone: "north", Token: b.router.cells["north"].claim.Token}
 		first := offer
--- a/internal/router/spill_test.go
+++ b/internal/router/spill_test.go
@@ -265,17 +265,24 @@
 	assert.Equal(t, token, b.router.jobs["j"].token)
 }
 
-// TestJobOfSilentHostOfOtherZoneEnds guards against a second run of a job that a holder of another zone
-// goes on with after its host has fallen silent and the client has submitted it again elsewhere.
-func TestJobOfSilentHostOfOtherZoneEnds(t *testing.T) {
+// newSplitHolderBed returns a holder of zone north with twelve peers there, where each zone has a
+// holder of its own.
+func newSplitHolderBed(t *testing.T) *holderBed {
+	t.Helper()
 	b := newHolderBed(t, 1, ClaimWon)
-	b.router.Bounds.MaxSharedTargets = 0 // a holder for each zone
-	b.router.totalTargets = 1
+	b.router.Bounds.MaxSharedTargets, b.router.totalTargets = 0, 1
 	for i := range 12 {
 		b.receiveHeartbeatFrom(fmt.Sprintf("10.0.1.%d:1", i))
 	}
 	b.advance(b.router.Bounds.HeartbeatInterval)
 	require.True(t, b.router.holderPerZone)
+	return b
+}
+
+// TestJobOfSilentHostOfOtherZoneEnds guards against a second run of a job that a holder of another zone
+// goes on with after its host has fallen silent and the client has submitted it again elsewhere.
+func TestJobOfSilentHostOfOtherZoneEnds(t *testing.T) {
+	b := newSplitHolderBed(t)
 	origin := Member{Name: "o", Zone: "south", Address: "10.0.0.9:1", Incarnation: 5, Slot: 10}
 	heartbeat := Heartbeat{Member: origin, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), WantsHeartbeats: true}
 	b.step(Receive{From: origin.Address, Message: Message{Heartbeat: &heartbeat}})
