internal/modeler: sites with targets of different speeds and hosts of different sizes

Two new deployments have weak and strong hosts and targets whose speed does not follow their kind; the model had neither. Hosts may now have classes and a processor that takes a time for each event, and targets run time factors in turn.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -24,6 +24,8 @@
 	MeanRunTime                  time.Duration
 	RunTimeSpread, EstimateError float64
 	Need                         router.Resources
+	// TailShare is the share of jobs whose tasks take TailFactor times as long.
+	TailShare, TailFactor float64
 	// Stretch and Allowance define the latency objective of a job: the longest run time of
 	// its tasks at a default target, times Stretch, plus Allowance.
 	Stretch   float64
@@ -98,6 +100,9 @@
 	sm.lastIDNumber++
 	normalRandom := sm.jobRandom.NormFloat64
 	taskSeconds := k.MeanRunTime.Seconds() * math.Exp(k.RunTimeSpread*normalRandom()-k.RunTimeSpread*k.RunTimeSpread/2)
+	if k.TailShare > 0 && sm.jobRandom.Float64() < k.TailShare {
+		taskSeconds *= k.TailFactor
+	}
 	count := int(math.Round(k.MeanTasks * math.Exp(0.4*normalRandom()-0.08)))
 	count = min(max(count, 1), int(4*k.MeanTasks))
 	need := k.Need
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -12,6 +12,7 @@
 	name    string
 	zone    string
 	address string
+	class   HostClass
 	router  *router.Router
 	// incarnation counts the starts and ends of the process. Events scheduled for an
 	// earlier incarnation are dropped.
@@ -37,6 +38,7 @@
 	silent       silence       // towards targets and the store
 	lag          time.Duration // how late the process handles events; see slowDown
 	handledUntil time.Time     // when the last event that is handled late is handled
+	busyUntil    time.Time     // when the processor has handled all events; see DeploymentSize.EventCost
 	sentMessages int           // number of messages to other hosts
 }
 
@@ -49,11 +51,14 @@
 	h.up, h.paused, h.suspended, h.leaving, h.deferred, h.startedAt = true, false, false, false, nil, h.sim.now
 	h.links, h.deliveredAt = make(map[string]bool), make(map[string]time.Time)
 	h.heldUntil, h.muted = make(map[string]time.Time), make(map[string]bool)
-	h.lag, h.handledUntil, h.silent = 0, time.Time{}, silence{}
+	h.lag, h.handledUntil, h.busyUntil, h.silent = 0, time.Time{}, time.Time{}, silence{}
 	h.clockError = h.nextClockError
 	h.router = &router.Router{
 		Policy: h.sim.Policy,
-		Self:   router.Member{Name: h.name, Zone: h.zone, Address: h.address, Incarnation: h.clock().UnixNano()},
+		Self: router.Member{
+			Name: h.name, Zone: h.zone, Address: h.address, Incarnation: h.clock().UnixNano(),
+			CPUShare: h.class.CPUShare, LinkRate: h.class.LinkRate,
+		},
 		Bounds: h.sim.Bounds,
 	}
 	h.tick(h.incarnation)
@@ -87,10 +92,41 @@
 			h.scheduleLate(action)
 			return
 		}
+		h.awaitProcessor(action)
+	})
+}
+
+// awaitProcessor performs an action once the processor has handled the events before it.
+func (h *host) awaitProcessor(action func()) {
+	if h.sim.Size.EventCost == 0 || h.class.CPUShare == 0 {
 		h.perform(action)
+		return
+	}
+	wait := h.busyUntil.Sub(h.sim.now)
+	h.useProcessor()
+	if wait <= 0 {
+		h.perform(action)
+		return
+	}
+	incarnation := h.incarnation
+	h.sim.schedule(wait, func() {
+		if h.incarnation == incarnation && h.up {
+			h.perform(action)
+		}
 	})
 }
 
+// useProcessor occupies the processor for the time of one event or order.
+func (h *host) useProcessor() {
+	if h.class.CPUShare == 0 {
+		return
+	}
+	if h.busyUntil.Before(h.sim.now) {
+		h.busyUntil = h.sim.now
+	}
+	h.busyUntil = h.busyUntil.Add(h.sim.Size.EventCost * 1000 / time.Duration(h.class.CPUShare))
+}
+
 // scheduleLate plans an action of a slow process, after those that were planned before.
 func (h *host) scheduleLate(action func()) {
 	if at := h.sim.now.Add(h.lag); at.After(h.handledUntil) {
@@ -161,6 +197,10 @@
 
 func (h *host) execute(effect router.Effect) {
 	sim := h.sim
+	switch effect.(type) {
+	case router.Start, router.Stop, router.Renew:
+		h.useProcessor()
+	}
 	switch e := effect.(type) {
 	case router.Answer:
 		sim.handleAnswer(h, e)
--- a/internal/modeler/scenario.go
+++ b/internal/modeler/scenario.go
@@ -69,7 +69,7 @@
 
 // Sites returns the sites by the names that scenarios use.
 func Sites() map[string]func() Simulation {
-	return map[string]func() Simulation{"restrepo": Restrepo, "kutchwala": Kutchwala, "coarse": Coarse}
+	return map[string]func() Simulation{"restrepo": Restrepo, "kutchwala": Kutchwala, "coarse": Coarse, "tables": Tables, "pricing": Pricing}
 }
 
 const (
@@ -83,9 +83,9 @@
 	doc := parser.Parse(name, text)
 	v := &Scenario{}
 	s := doc.Section("scenario")
-	v.Site = s.RequiredText("site", "name restrepo, kutchwala or coarse")
+	v.Site = s.RequiredText("site", "name restrepo, kutchwala, coarse, tables or pricing")
 	if v.Site != "" && Sites()[v.Site] == nil {
-		doc.AddFault("scenario", "site", "unknown", "name restrepo, kutchwala or coarse")
+		doc.AddFault("scenario", "site", "unknown", "name restrepo, kutchwala, coarse, tables or pricing")
 	}
 	v.Seeds = s.Int("seeds", defaultSeeds, 1, 1000)
 	v.Length = s.Duration("length", defaultLength, time.Second, time.Hour)
--- a/internal/modeler/site.go
+++ b/internal/modeler/site.go
@@ -58,3 +58,47 @@
 	sim.Kinds = DefaultKinds(6800)
 	return sim
 }
+
+// Tables returns a site whose targets differ in speed and whose hosts differ in processor share, with
+// a holder for each zone. Its tasks take half of a target on average.
+func Tables() Simulation {
+	sim := Coarse()
+	sim.Size.TargetsPerZone, sim.Size.SlowFactor = 117, 1
+	sim.Size.TargetCapacity = router.Resources{CPU: 32000, Memory: 65536}
+	sim.Size.RunTimeFactors = []float64{1 / 0.8, 1, 1 / 1.25}
+	sim.Size.ZoneShares = []float64{0.299, 0.329, 0.372}
+	sim.Size.InterZoneDelay, sim.Size.IntraZoneDelay = 1400*time.Microsecond, 100*time.Microsecond
+	sim.Size.HostClasses = []HostClass{{PerZone: 2, CPUShare: 800, LinkRate: 200_000}, {PerZone: 9, CPUShare: 192, LinkRate: 25_000}}
+	sim.Bounds.MaxSharedTargets = router.Standard().MaxSharedTargets
+	sim.Kinds = unevenKinds(16000, 844, []time.Duration{60 * time.Millisecond, 900 * time.Millisecond, 200 * time.Millisecond}, []int{2, 3, 3})
+	return sim
+}
+
+// Pricing returns a site like Tables of which a quarter of the targets has half of the speed of the
+// others, whatever their kind, and 3 % of the jobs take seven times as long as the others.
+func Pricing() Simulation {
+	sim := Tables()
+	sim.Size.TargetCapacity = router.Resources{CPU: 64000, Memory: 262144}
+	sim.Size.RunTimeFactors = []float64{1 / 0.55, 1 / 1.2, 1 / 1.2, 1 / 1.2}
+	sim.Size.ZoneShares = []float64{0.326, 0.340, 0.334}
+	sim.Size.HostClasses = []HostClass{
+		{PerZone: 2, CPUShare: 800, LinkRate: 200_000}, {PerZone: 3, CPUShare: 480, LinkRate: 62_000}, {PerZone: 8, CPUShare: 144, LinkRate: 19_000},
+	}
+	sim.Kinds = unevenKinds(32000, 743, []time.Duration{51 * time.Millisecond, 760 * time.Millisecond, 170 * time.Millisecond}, []int{2, 2, 3})
+	for i := range sim.Kinds {
+		sim.Kinds[i].TailShare, sim.Kinds[i].TailFactor = 0.03, 7
+	}
+	return sim
+}
+
+// unevenKinds returns the kinds of job of Tables and Pricing: wide short ones, long ones and small
+// ones. rate is the number of jobs a second of all kinds together.
+func unevenKinds(cpu int, rate float64, runTimes []time.Duration, attempts []int) []JobKind {
+	kinds := DefaultKinds(cpu)
+	shares, benefits := []float64{206, 37.5, 600}, []float64{0.00485, 0.0267, 0.00167}
+	for i := range kinds {
+		kinds[i].Rate = rate * shares[i] / (206 + 37.5 + 600)
+		kinds[i].MeanRunTime, kinds[i].MaxAttempts, kinds[i].Benefit = runTimes[i], attempts[i], benefits[i]
+	}
+	return kinds
+}
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -60,6 +60,9 @@
 		capacity.CPU, capacity.Memory = capacity.CPU*3/2, capacity.Memory*3/2
 		slowFactor, label = sm.Size.SlowFactor, "b"
 	}
+	if factors := sm.Size.RunTimeFactors; len(factors) > 0 {
+		slowFactor *= factors[len(sm.targets)%len(factors)]
+	}
 	t := &target{
 		sim: sm, slowFactor: slowFactor, defaultCapacity: capacity, drift: (sm.random.Float64() - 0.5) * 0.04,
 		entry: router.Target{
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -26,11 +26,26 @@
 	// SlowFactor.
 	TargetCapacity router.Resources
 	SlowFactor     float64
+	// RunTimeFactors multiply the run times of the targets of all zones in turn, besides
+	// SlowFactor; empty means 1.
+	RunTimeFactors []float64
+	// HostClasses are the hosts of each zone, which replace HostsPerZone if there are any.
+	HostClasses []HostClass
+	// EventCost is the processor time of one event or order of a host on one core; 0 means that
+	// processors are not simulated. A host with a smaller CPUShare takes longer.
+	EventCost time.Duration
 	// InterZoneDelay is the one-way network delay between zones, IntraZoneDelay the
 	// delay within a zone.
 	InterZoneDelay, IntraZoneDelay time.Duration
 }
 
+// HostClass describes equal hosts of a deployment.
+type HostClass struct {
+	PerZone  int
+	CPUShare int // thousandths of a core
+	LinkRate int // kbit/s
+}
+
 // Simulation is the simulation of one deployment. The exported fields down to Trace are set
 // before Run.
 type Simulation struct {
@@ -187,8 +202,8 @@
 		for i := range sm.Size.TargetsPerZone {
 			sm.addTarget(fmt.Sprintf("t%d-%02d", z, i), zone, i)
 		}
-		for i := range sm.Size.HostsPerZone {
-			h := &host{sim: sm, name: fmt.Sprintf("h%d-%d", z, i), zone: zone}
+		for i, class := range sm.Size.zoneHosts() {
+			h := &host{sim: sm, name: fmt.Sprintf("h%d-%d", z, i), zone: zone, class: class}
 			h.address = fmt.Sprintf("10.%d.0.%d:1", z+1, i+1)
 			sm.hosts = append(sm.hosts, h)
 			sm.hostsByAddress[h.address] = h
@@ -197,6 +212,20 @@
 	}
 }
 
+// zoneHosts returns the class of each host of a zone.
+func (d *DeploymentSize) zoneHosts() []HostClass {
+	if len(d.HostClasses) == 0 {
+		return make([]HostClass, d.HostsPerZone)
+	}
+	var hosts []HostClass
+	for _, class := range d.HostClasses {
+		for range class.PerZone {
+			hosts = append(hosts, class)
+		}
+	}
+	return hosts
+}
+
 // recordViolation adds the violation of an invariant, with its time after the start of the
 // load, unless there are 20 already.
 func (sm *Simulation) recordViolation(format string, args ...any) {
