--- a/internal/modeler/site.go
+++ b/internal/modeler/site.go
@@ -65,7 +65,7 @@
 	sim := Coarse()
 	sim.Size.TargetsPerZone, sim.Size.SlowFactor = 117, 1
 	sim.Size.TargetCapacity = router.Resources{CPU: 32000, Memory: 65536}
-	sim.Size.RunTimeFactors = []float64{1 / 0.8, 1, 1 / 1.25}
+	sim.Size.RunTimeFactors = []float64{0.8, 1, 1.25}
 	sim.Size.ZoneShares = []float64{0.299, 0.329, 0.372}
 	sim.Size.InterZoneDelay, sim.Size.IntraZoneDelay = 1400*time.Microsecond, 100*time.Microsecond
 	sim.Size.HostClasses = []HostClass{{PerZone: 2, CPUShare: 800, LinkRate: 200_000}, {PerZone: 9, CPUShare: 192, LinkRate: 25_000}}
@@ -74,12 +74,13 @@
 	return sim
 }
 
-// Pricing returns a site like Tables of which a quarter of the targets has half of the speed of the
-// others, whatever their kind, and 3 % of the jobs take seven times as long as the others.
+// Pricing returns a site like Tables of which a quarter of the targets takes less than half of the
+// time of the others, whatever their kind. 3 % of the jobs take seven times as long as the others and
+// declare that.
 func Pricing() Simulation {
 	sim := Tables()
 	sim.Size.TargetCapacity = router.Resources{CPU: 64000, Memory: 262144}
-	sim.Size.RunTimeFactors = []float64{1 / 0.55, 1 / 1.2, 1 / 1.2, 1 / 1.2}
+	sim.Size.RunTimeFactors = []float64{0.55, 1.2, 1.2, 1.2}
 	sim.Size.ZoneShares = []float64{0.326, 0.340, 0.334}
 	sim.Size.HostClasses = []HostClass{
 		{PerZone: 2, CPUShare: 800, LinkRate: 200_000}, {PerZone: 3, CPUShare: 480, LinkRate: 62_000}, {PerZone: 8, CPUShare: 144, LinkRate: 19_000},
