internal/router: a leaving holder keeps its cells until a capable host takes them

When both strong hosts of a zone were asked to leave, a host of 0.192 cores claimed the cell at once, was busy with the takeover for longer than PeerTimeout, counted as lost, and the cell moved between weak hosts.

A holder that shuts down now says in its heartbeats that it still decides, and names the host that may claim its cells: one of at least half of its processor share, or in the last second a weaker one that carries the starts. One second before the end of the grace any host may claim, as before. The successor first opens connections to the targets. Hosts of the previous build replace a leaving holder at once, as before.

A busy host is told from a lost one: hosts report by how much they are late, a weak host that has just claimed gets 400 ms more, and a late host waits before it claims. A weak host that was replaced is not chosen again for 5 s while there is another.

--- a/internal/meter/host.go
+++ b/internal/meter/host.go
@@ -32,6 +32,8 @@
 	RunningTasks  prometheus.Gauge // runs at targets of the held cells
 	OpenJobs      prometheus.Gauge // jobs of this host's clients without an answer
 	HeldCells     prometheus.Gauge // held cells
+	KeepsCells    prometheus.Gauge // 1 while the host shuts down and keeps its cells
+	Lag           prometheus.Gauge // seconds by which this host was recently late
 	Members       prometheus.Gauge // reachable hosts, including this one
 	ConfigVersion prometheus.Gauge // version of the current configuration
 	DirectoryAge  prometheus.Gauge // seconds since this host read the directory
@@ -59,6 +61,8 @@
 		RunningTasks:  gauge("running_tasks", "Runs at the targets of the held cells."),
 		OpenJobs:      gauge("open_jobs", "Jobs of this host's clients without an answer."),
 		HeldCells:     gauge("held_cells", "Availability zones whose targets this host holds."),
+		KeepsCells:    gauge("keeps_cells", "1 while this host shuts down and keeps its cells until a capable host takes them."),
+		Lag:           gauge("lag_seconds", "Time by which this host was recently late, at most 0.4; 0 in normal operation."),
 		Members:       gauge("members", "Reachable entry hosts, including this one."),
 		ConfigVersion: gauge("config_version", "Version of the current configuration."),
 		DirectoryAge:  gauge("directory_age_seconds", "Time since this host read the directory of targets."),
@@ -72,7 +76,7 @@
 	})
 	h.Registry.MustRegister(
 		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Violations, h.Omitted, h.Steps,
-		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.LeaseMargin,
+		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.KeepsCells, h.Lag, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.LeaseMargin,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return h
@@ -90,6 +94,11 @@
 	h.RunningTasks.Set(float64(v.Running))
 	h.OpenJobs.Set(float64(v.Open))
 	h.HeldCells.Set(float64(v.HeldCells))
+	h.KeepsCells.Set(0)
+	if v.KeepsCells {
+		h.KeepsCells.Set(1)
+	}
+	h.Lag.Set(v.Lag.Seconds())
 	h.Members.Set(float64(v.Members))
 	h.DirectoryAge.Set(v.DirectoryAge.Seconds())
 	h.Evacuated.Set(float64(v.EvacuatedZones))
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -53,8 +53,12 @@
 	h.heldUntil, h.muted = make(map[string]time.Time), make(map[string]bool)
 	h.lag, h.handledUntil, h.busyUntil, h.silent = 0, time.Time{}, time.Time{}, silence{}
 	h.clockError = h.nextClockError
+	policy, ok := h.sim.HostPolicies[h.name]
+	if !ok {
+		policy = h.sim.Policy
+	}
 	h.router = &router.Router{
-		Policy: h.sim.Policy,
+		Policy: policy,
 		Self: router.Member{
 			Name: h.name, Zone: h.zone, Address: h.address, Incarnation: h.clock().UnixNano(),
 			CPUShare: h.class.CPUShare, LinkRate: h.class.LinkRate,
--- a/internal/modeler/tally.go
+++ b/internal/modeler/tally.go
@@ -18,6 +18,8 @@
 	// ExcessStarts are the times from the change of a target's entry to the orders that exceed the
 	// capacity since then, or 0 for orders before the change.
 	ExcessStarts []time.Duration
+	// UnknownUnstarted counts the answers that a job may have run although no task of it had started.
+	UnknownUnstarted int
 	// Tasks is the number of tasks of completed jobs.
 	Tasks int
 	Kinds map[string]*KindCount
@@ -132,6 +134,9 @@
 
 func (t *Results) recordUnknown(c *client, reason router.Reason) {
 	n := t.countOf(c)
+	if c.sim.startCounts[c.id] == 0 {
+		t.UnknownUnstarted++
+	}
 	n.Unknown++
 	n.Reasons[reason]++
 }
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -61,6 +61,8 @@
 	Bounds                                      router.Bounds
 	// Policy is the policy of all hosts.
 	Policy router.Policy
+	// HostPolicies replaces Policy for the named hosts.
+	HostPolicies map[string]router.Policy
 	// LateOrderShare is the share of orders that targets execute 2 to 11 s late and do not answer.
 	LateOrderShare float64
 	// LateRenewals makes targets execute that share of the renewals late, too.
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -19,6 +19,7 @@
 	mergeWantedSince time.Time // since when this host should hold the cell instead of the reachable holder
 	fenced           bool      // targets obey a higher token, whose claim is not known here
 	claimReceivedAt  time.Time // when the current claim was received
+	namedSince       time.Time // since when the leaving holder names this host as its successor
 	// unwritten is true while this host's claim is not in the store yet; lastWriteAt is
 	// when the last attempt to write it was made.
 	unwritten   bool
@@ -86,6 +87,7 @@
 	}
 	r.emit(Decision{Action: "holder", Pairs: []any{"zone", c.zone, "holder", claim.Holder.Name, "token", claim.Token, "before", c.claim.Holder.Name}})
 	r.recordLostZone(c)
+	r.recordReplacement(c, claim.Holder)
 	c.claim, c.fenced, c.claimBackoff, c.claimReceivedAt = claim, false, 0, r.now
 	r.lastSharedChangeAt = r.now
 	c.holderlessSince, c.mergeWantedSince = time.Time{}, time.Time{}
@@ -130,7 +132,7 @@
 			continue
 		}
 		holder := r.reachableHolder(zone)
-		if holder != nil && !r.isLeaving(*holder) {
+		if holder != nil && (!r.isLeaving(*holder) || r.isKept(c)) {
 			c.holderlessSince = time.Time{}
 			continue
 		}
@@ -160,6 +162,7 @@
 		r.dropJobsOfZone(c.zone)
 	}
 	r.recordLostZone(c)
+	r.recordReplacement(c, r.Self)
 	c.claim = Claim{Zone: c.zone, Token: token, Holder: r.Self}
 	c.heldHere, c.acquiredAt, c.fenced = true, r.now, false
 	r.lastSharedChangeAt = r.now
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -88,6 +88,12 @@
 	if err := h.Member.Check(); err != nil {
 		return err
 	}
+	if len(h.Successor) > maxAddressBytes {
+		return &MalformedError{"the address of a successor", fmt.Sprintf("%d bytes long", len(h.Successor))}
+	}
+	if h.Lag < 0 || h.Lag > maxDuration {
+		return &MalformedError{"the lag of a host", fmt.Sprint(h.Lag)}
+	}
 	for _, c := range h.Claims {
 		if generationOf(c.Token) >= maxGeneration {
 			return &MalformedError{"the token of a claim", fmt.Sprint(c.Token)}
--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -43,7 +43,7 @@
 		candidates = slices.DeleteFunc(candidates, func(m Member) bool { return m.Zone != zone })
 	}
 	slices.SortFunc(candidates, compareCandidates)
-	return candidates
+	return r.withoutReplaced(candidates)
 }
 
 // targetTrafficKbps is the network traffic that one target causes at its holder, in
@@ -140,13 +140,16 @@
 	if !c.holderlessSince.IsZero() && r.mayHolderReturn(c) {
 		return false
 	}
+	if holder := r.keepingHolder(c); holder != nil {
+		return r.isReadySuccessor(c, holder)
+	}
 	candidates := r.candidates(c.zone)
 	rank := slices.IndexFunc(candidates, func(m Member) bool { return m.Address == r.Self.Address })
 	if rank < 0 || !r.hasMajority(c.zone) && !r.isLongHolderless(c) {
 		return false
 	}
 	if !c.holderlessSince.IsZero() {
-		return r.now.Sub(c.holderlessSince) >= time.Duration(rank)*r.Bounds.ClaimStagger
+		return r.now.Sub(c.holderlessSince) >= time.Duration(rank)*r.Bounds.ClaimStagger+r.claimCaution(c)
 	}
 	return r.shouldMerge(c, candidates)
 }
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -16,6 +16,7 @@
 	}
 	r.leavingSince = r.now
 	r.emit(Decision{Action: "drain", Pairs: []any{"open", len(r.openRequests), "grace", r.Bounds.ShutdownTimeout.String()}})
+	r.updateHandover()
 	r.sendHeartbeats()
 }
 
@@ -30,7 +31,7 @@
 		return
 	}
 	timedOut := elapsed >= r.Bounds.ShutdownTimeout-shutdownAnswerReserve
-	if !timedOut && (len(r.openRequests) > 0 || r.hasOpenHeldJobs()) {
+	if !timedOut && (r.handover.keeps || len(r.openRequests) > 0 || r.hasOpenHeldJobs()) {
 		return
 	}
 	for _, id := range sortedKeys(r.requestsByJob) {
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -102,6 +102,12 @@
 	// ReceiverIncarnation is the incarnation of the receiver as the sender knows it, if the sender
 	// has received heartbeats of a lower one. Most heartbeats leave it out.
 	ReceiverIncarnation int64 `cbor:"18,keyasint,omitempty"`
+	// KeepsCells is true while a leaving sender still decides over its cells, which only Successor, the
+	// address of a host, may claim from it. Hosts of earlier versions neither send nor read these.
+	KeepsCells bool   `cbor:"24,keyasint,omitempty"`
+	Successor  string `cbor:"25,keyasint,omitempty"`
+	// Lag is by how much the sender was recently late, because its processor was busy.
+	Lag time.Duration `cbor:"26,keyasint,omitempty"`
 	// Routes and Speeds are a holder's learned state. Most heartbeats leave them out.
 	Routes []RouteStats `cbor:"10,keyasint,omitempty"`
 	Speeds []KindSpeed  `cbor:"11,keyasint,omitempty"`
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -54,7 +54,7 @@
 // background peers until it has had time to answer.
 func (r *Router) peerTimeout(p *peer) time.Duration {
 	if p.monitored && r.hasHadTimeToAnswer(p) {
-		return r.Bounds.PeerTimeout
+		return r.Bounds.PeerTimeout + r.lagAllowance(p)
 	}
 	return r.backgroundPeerTimeout()
 }
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -21,6 +21,14 @@
 	sendsLowerIncarnation bool
 	// leaving is true while the peer shuts down.
 	leaving bool
+	// keepsCells is true while the leaving peer still decides over its cells, and successor is the
+	// address of the host that it has named to claim them.
+	keepsCells bool
+	successor  string
+	// replacedAt is when another host last replaced the peer as a holder because it did not answer.
+	replacedAt time.Time
+	// lag is by how much the peer has reported that it is late.
+	lag time.Duration
 	// reachesHolder is true if the peer reaches the holder of its zone's cell.
 	reachesHolder bool
 	// headroom is the last reported Headroom of the peer less what was sent there since.
@@ -212,6 +220,7 @@
 		p.lastEchoedAt = echo
 	}
 	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
+	p.keepsCells, p.successor, p.lag = heartbeat.KeepsCells, heartbeat.Successor, min(heartbeat.Lag, maxLagAllowance)
 	p.headroom = maps.Clone(heartbeat.Headroom)
 }
 
@@ -459,6 +468,7 @@
 	}
 	return Heartbeat{
 		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leavingSince.IsZero(), ReachesHolder: r.reachableHolder(r.Self.Zone) != nil, Generation: r.generation,
+		KeepsCells: r.handover.keeps, Successor: r.handover.successor.Address, Lag: r.currentLag(),
 		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Headroom: r.headroom(),
 	}
 }
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -322,6 +322,7 @@
 func (r *Router) sendStart(n *run) {
 	t := n.target
 	r.extendRunExpiry(t)
+	r.startRate.add(r.now)
 	r.emit(Start{
 		Target: t.Target, Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
 		LeaseEnd: t.leaseEnd(r.now, r.Bounds.LeaseDuration), Timeout: r.Bounds.OrderTimeout,
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -46,12 +46,16 @@
 	StandbyConnections Mechanism = "standby"
 	// CrashIsolation places a task under which a target has crashed apart from other tasks.
 	CrashIsolation Mechanism = "isolation"
+	// PlannedHandover lets a holder that shuts down keep its cells until a capable host is there.
+	PlannedHandover Mechanism = "handover"
+	// BusyHostPatience gives hosts that are late more time before they count as unreachable.
+	BusyHostPatience Mechanism = "patience"
 )
 
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation, PlannedHandover, BusyHostPatience,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,6 +93,10 @@
 
 	lostJobsDropAt map[string]time.Time // when to drop the jobs of a lost cell, by zone
 	leavingSince   time.Time            // when the shutdown began; zero before
+	handover       handover             // how this host leaves its cells while it shuts down
+	startRate      eventRate            // starts at the targets of held cells
+	lag            lagMeter             // how late this host is
+	replacedAt     time.Time            // when another host last replaced this one as a holder
 	halted         bool
 }
 
@@ -206,7 +210,9 @@
 
 // handleTick does the periodic work and checks all timeouts.
 func (r *Router) handleTick() {
+	r.lag.tick(r.now, r.Bounds.TickInterval, r.Bounds.HeartbeatInterval)
 	r.watchPeers()
+	r.updateHandover()
 	r.sendDueHeartbeats()
 	r.followZones()
 	r.trackMissingHolders()
@@ -242,6 +248,11 @@
 	// Members counts the reachable hosts including this one, HeldCells the cells that
 	// this host holds.
 	Members, HeldCells int
+	// Lag is by how much this host was recently late.
+	Lag time.Duration
+	// KeepsCells is true while the host shuts down and still decides over its cells, for lack of a capable
+	// successor.
+	KeepsCells bool
 	// Waiting and Running count tasks of the cells that this host holds.
 	Waiting, Running int
 	// Open counts the open requests of this host's clients.
@@ -258,7 +269,7 @@
 
 // View returns the current view.
 func (r *Router) View() View {
-	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, Open: len(r.openRequests), LeaseMargin: r.leaseMargin()}
+	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), Open: len(r.openRequests), LeaseMargin: r.leaseMargin()}
 	view.Ready = r.config != nil && r.leavingSince.IsZero() && r.reachableHolder(r.Self.Zone) != nil
 	for _, p := range r.peers {
 		if r.isReachable(p) {
--- a/internal/router/standby.go
+++ b/internal/router/standby.go
@@ -22,20 +22,41 @@
 // a small processor share, opening the connections only then would take longer than the
 // rest of the takeover.
 func (r *Router) maintainStandbyConnections() {
-	if r.now.Sub(r.lastStandbyUseAt) < standbyOpenInterval || !r.isSuccessor() || !r.isEnabled(StandbyConnections) {
+	isDue := r.isNamedSuccessor() || r.now.Sub(r.lastStandbyUseAt) >= standbyOpenInterval && r.isSuccessor()
+	if !isDue || !r.isEnabled(StandbyConnections) {
 		return
 	}
-	for _, entry := range r.directory.Targets {
+	for range r.standbyBatch() {
+		entry := r.unconnectedTarget()
+		if entry == nil {
+			return
+		}
+		r.standbyUsedAt[entry.ID], r.lastStandbyUseAt = r.now, r.now
+		r.emit(WarmUp{Target: *entry, Connections: standbyConnectionCount, Timeout: standbyTimeout})
+	}
+}
+
+// standbyBatch returns to how many targets connections are opened at once.
+func (r *Router) standbyBatch() int {
+	if r.isNamedSuccessor() {
+		return successorOpenCount
+	}
+	return 1
+}
+
+// unconnectedTarget returns a target to which a standby connection must be opened or used, or nil if
+// there is none.
+func (r *Router) unconnectedTarget() *Target {
+	for i := range r.directory.Targets {
+		entry := &r.directory.Targets[i]
 		if c := r.cells[entry.Zone]; c == nil || c.heldHere || !r.sharesCells(entry.Zone) || entry.Draining {
 			continue
 		}
-		if lastUsedAt, known := r.standbyUsedAt[entry.ID]; known && r.now.Sub(lastUsedAt) < standbyUseInterval {
-			continue
+		if lastUsedAt, known := r.standbyUsedAt[entry.ID]; !known || r.now.Sub(lastUsedAt) >= standbyUseInterval {
+			return entry
 		}
-		r.standbyUsedAt[entry.ID], r.lastStandbyUseAt = r.now, r.now
-		r.emit(WarmUp{Target: entry, Connections: standbyConnectionCount, Timeout: standbyTimeout})
-		return
 	}
+	return nil
 }
 
 // isSuccessor reports whether this host is a likely successor of the holder of its
