internal/balancer, internal/router: jobs that have to wait go to a zone that starts them earlier

Each zone's holder decided from its own targets and queue, and another zone was asked only after a refusal, so the zone with the most jobs was refused many times as often as the others. Holders now publish the expected wait beside the free room, and a Balancer refers a job that would wait to a neighbour with room or a shorter queue, once, on arrival or when little of its slack is left. Hosts connect to the neighbours once their zone is three quarters full. New fields between hosts are optional; jobs of hosts of the previous build are referred only instead of a refusal.

--- a/internal/modeler/tally.go
+++ b/internal/modeler/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,8 +28,8 @@
 	// Achieved and Possible are the benefit achieved and the benefit possible, by the second of
 	// the load in which the job was sent.
 	Achieved, Possible map[int]float64
-	// Zones is the benefit by the client's zone.
-	Zones map[string]*Benefit
+	// Zones counts the jobs and their benefit by the client's zone.
+	Zones map[string]*ZoneCount
 	// Jobs lists the benefit and the work of each job, for MaxBenefitRatio.
 	Jobs []JobBenefit
 }
@@ -36,6 +37,28 @@
 // Benefit is the benefit achieved and the benefit possible if all answers were in time.
 type Benefit struct{ Achieved, Possible float64 }
 
+// ZoneCount counts the jobs of the clients of one zone.
+type ZoneCount struct {
+	Benefit
+	Sent, Refused int
+}
+
+// RefusedShare returns the share of the zone's jobs that were refused.
+func (z *ZoneCount) RefusedShare() float64 { return float64(z.Refused) / float64(max(z.Sent, 1)) }
+
+// RefusalRatio returns the refused share of the zone with the highest one, divided by that of the zone
+// with the lowest one. It is infinite if no job of the latter was refused, and 1 if none was at all.
+func (t *Results) RefusalRatio() float64 {
+	lowest, highest := math.Inf(1), 0.0
+	for _, z := range t.Zones {
+		lowest, highest = min(lowest, z.RefusedShare()), max(highest, z.RefusedShare())
+	}
+	if highest == 0 {
+		return 1
+	}
+	return highest / lowest
+}
+
 // JobBenefit is the benefit of an answer in time to a job, and the job's work in core-seconds at
 // a default target.
 type JobBenefit struct{ Benefit, Work float64 }
@@ -56,7 +79,7 @@
 	if t.Kinds == nil {
 		t.Kinds = make(map[string]*KindCount)
 		t.Achieved, t.Possible = make(map[int]float64), make(map[int]float64)
-		t.Zones = make(map[string]*Benefit)
+		t.Zones = make(map[string]*ZoneCount)
 	}
 	n := t.Kinds[c.kind.Name]
 	if n == nil {
@@ -85,8 +108,9 @@
 	n.Possible += c.benefit()
 	t.Possible[c.sentSecond()] += c.benefit()
 	if t.Zones[c.zone] == nil {
-		t.Zones[c.zone] = &Benefit{}
+		t.Zones[c.zone] = &ZoneCount{}
 	}
+	t.Zones[c.zone].Sent++
 	t.Zones[c.zone].Possible += c.benefit()
 	t.Jobs = append(t.Jobs, JobBenefit{Benefit: c.benefit(), Work: c.taskSeconds * float64(c.job.Count*c.job.Need.CPU) / milliPerCore})
 }
@@ -122,6 +146,7 @@
 	n := t.countOf(c)
 	n.Refused++
 	n.Reasons[reason]++
+	t.Zones[c.zone].Refused++
 }
 
 func (t *Results) recordFailed(c *client, reason router.Reason) {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -79,8 +79,18 @@
 		return v, true
 	}
 	free, total := r.capacity(j)
+	weight := r.waitWeight(j)
+	if v, referred := r.referJob(j, seconds(r.estimateWait(j, free, total).Seconds()*weight)); referred {
+		return v, true
+	}
 	j.exceedsShare = r.exceedsFairShare(j, total)
-	wait := seconds(r.estimateWait(j, free, total).Seconds() * r.waitWeight(j))
+	wait := seconds(r.estimateWait(j, free, total).Seconds() * weight)
+	if j.exceedsShare {
+		if v, referred := r.referJob(j, wait); referred {
+			r.shareOf(j).addDemand(r.now, -j.pendingWork())
+			return v, true
+		}
+	}
 	if r.now.Add(wait).After(r.admissionBound(j)) {
 		backoff := r.shareOf(j).recordRefusal(r.now)
 		if !r.isEnabled(OverloadBackoff) {
@@ -232,7 +242,7 @@
 		if t.Service != spec.Service || !r.isSoonUsable(t) {
 			continue
 		}
-		total += int(float64(t.Capacity.CPU) / (r.speedFactor(t.kind()) * r.coldFactorOf(t)))
+		total += r.effectiveCPU(t)
 		if t.fenced && !r.isUsable(t) || r.isCold(t) && r.isLateAt(j, t) {
 			continue
 		}
@@ -243,6 +253,11 @@
 	return free, total
 }
 
+// effectiveCPU returns the CPU of a target in thousandths of a core of a target of average speed.
+func (r *Router) effectiveCPU(t *target) int {
+	return int(float64(t.Capacity.CPU) / (r.speedFactor(t.kind()) * r.coldFactorOf(t)))
+}
+
 // isSoonUsable reports whether a target can be given tasks now or in a moment. A new holder
 // first asks its targets what they run, so targets that are not fenced yet count while the cell
 // has been held for less than the peer timeout.
@@ -264,6 +279,7 @@
 		}
 	case r.now.After(last):
 		r.abortJob(j, Expired)
+	case r.referQueuedJob(j):
 	case r.Policy.Admission == ByBacklog && !j.mayHaveStarted && !j.reoffered && r.isLate(j) && r.isContended(j):
 		r.abortJob(j, Overload)
 	}
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -75,6 +75,9 @@
 	case o.RunBase < 0 || o.RunBase > maxRunNumber:
 		return &MalformedError{"the run number base", fmt.Sprint(o.RunBase)}
 	}
+	if err := checkZoneNames(o.ReachableZones); err != nil {
+		return err
+	}
 	return checkCrashes(o.Crashes)
 }
 
@@ -96,6 +99,9 @@
 	if err := checkCrashes(h.Crashes); err != nil {
 		return err
 	}
+	if err := checkLoads(h.Loads, h.Neighbours); err != nil {
+		return err
+	}
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -51,6 +51,8 @@
 	reoffered        bool
 	quarantinedUntil time.Time
 	previousZones    []string
+	// reachableZones are the zones to which the job can be referred.
+	reachableZones []string
 	// likelyRetry is set if the client has probably waited for an answer in an earlier try.
 	likelyRetry bool
 	// exceedsShare is set if the job's route exceeded its fair share when the job arrived.
@@ -173,7 +175,9 @@
 		if v.Outcome == Refused && v.Reason == Overload && v.Elsewhere == "" && j.zone == origin.Zone {
 			v.Elsewhere = r.zoneWithHeadroom(j)
 		}
-		r.emit(Decision{Action: "refuse", Job: j.spec.ID, Pairs: r.decisionPairs(j, "reason", v.Reason, "after", v.RetryAfter.String(), "elsewhere", v.Elsewhere)})
+		if !v.Referred {
+			r.emit(Decision{Action: "refuse", Job: j.spec.ID, Pairs: r.decisionPairs(j, "reason", v.Reason, "after", v.RetryAfter.String(), "elsewhere", v.Elsewhere)})
+		}
 		r.refuseJob(j, v)
 		return
 	}
@@ -208,7 +212,7 @@
 	j := &job{
 		spec: o.Job, origin: origin.Address, zone: cmp.Or(o.Zone, origin.Zone), token: o.Token, submissionID: o.SubmissionID, tasks: make([]task, o.Job.Count), waitingCount: o.Job.Count,
 		offeredAt: r.now, arrivedAt: r.now.Add(-boundDuration(o.Elapsed)), deadline: r.now.Add(min(o.TimeLeft, maxDuration)),
-		reoffered: o.Reoffered, previousZones: o.PreviousZones,
+		reoffered: o.Reoffered, previousZones: o.PreviousZones, reachableZones: o.ReachableZones,
 	}
 	j.spec.ExpectedRunTime, j.spec.Allowance = boundDuration(j.spec.ExpectedRunTime), boundDuration(j.spec.Allowance)
 	j.SetHeapIndex(-1)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -102,6 +102,11 @@
 	// ReceiverIncarnation is the incarnation of the receiver as the sender knows it, if the sender
 	// has received heartbeats of a lower one. Most heartbeats leave it out.
 	ReceiverIncarnation int64 `cbor:"18,keyasint,omitempty"`
+	// Loads are the loads of the targets of the sender's cell, by service, if the sender has held the
+	// cell for a while. Hosts of earlier versions neither send nor read them.
+	Loads map[string]ServiceLoad `cbor:"19,keyasint,omitempty"`
+	// Neighbours are the zones to whose holders the sender may soon refer jobs.
+	Neighbours []string `cbor:"20,keyasint,omitempty"`
 	// Routes and Speeds are a holder's learned state. Most heartbeats leave them out.
 	Routes []RouteStats `cbor:"10,keyasint,omitempty"`
 	Speeds []KindSpeed  `cbor:"11,keyasint,omitempty"`
@@ -172,6 +177,9 @@
 	// Incarnation is the incarnation of the process that sent the offer; hosts of earlier versions
 	// leave it out.
 	Incarnation int64 `cbor:"12,keyasint,omitempty"`
+	// ReachableZones are the zones to which the job may be referred, because its host reaches their
+	// holders. Hosts of earlier versions leave it out.
+	ReachableZones []string `cbor:"13,keyasint,omitempty"`
 }
 
 // sentAt returns when the offer was sent, on its host's clock in Unix nanoseconds.
@@ -245,6 +253,9 @@
 	Token uint64 `cbor:"6,keyasint,omitempty"`
 	// Elsewhere is a zone whose targets have room for a job that was refused for overload.
 	Elsewhere string `cbor:"7,keyasint,omitempty"`
+	// Referred is true if the job was not refused, but can start earlier in the zone Elsewhere. If that
+	// cannot be reached, the job is offered again.
+	Referred bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Progress reports done tasks and crashes of targets to the job's host, so that another holder
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -137,6 +137,7 @@
 		Job: q.job, TimeLeft: q.deadline.Sub(r.now), Elapsed: r.now.Sub(q.arrivedAt),
 		Reoffered: len(q.previousZones) > 0, PreviousZones: q.previousZones, Done: q.doneTasks, RunBase: q.runBase, SubmissionID: q.arrivedAt.UnixNano(),
 		Zone: q.zone, Token: q.token, Crashes: r.crashes.crashesOfJob(q.job.ID, q.job.Count), Incarnation: r.Self.Incarnation,
+		ReachableZones: r.reachableZones(q),
 	}
 }
 
@@ -213,7 +214,7 @@
 	zone := r.zoneFor(q)
 	hasHolder := r.reachableHolder(zone) != nil
 	if q.spill.hasFailed(r.now) && q.holder == "" && len(q.previousZones) == 0 {
-		r.answerRequest(q, q.spill.refusal)
+		r.endFailedSpill(q)
 		return
 	}
 	expired := r.now.After(q.deadline.Add(answerGrace))
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -24,7 +24,11 @@
 	// reachesHolder is true if the peer reaches the holder of its zone's cell.
 	reachesHolder bool
 	// headroom is the last reported Headroom of the peer less what was sent there since.
-	headroom         map[string]int
+	headroom map[string]int
+	// loads are the last reported Loads of the peer with what was sent there since, and neighbours its
+	// last reported Neighbours.
+	loads            map[string]ServiceLoad
+	neighbours       []string
 	configVersion    uint64
 	directoryVersion uint64
 	directoryAge     time.Duration
@@ -212,7 +216,7 @@
 		p.lastEchoedAt = echo
 	}
 	p.leaving, p.reachesHolder, p.configVersion, p.directoryVersion, p.directoryAge = heartbeat.Leaving, heartbeat.ReachesHolder, heartbeat.Config, heartbeat.Directory, heartbeat.DirectoryAge
-	p.headroom = maps.Clone(heartbeat.Headroom)
+	p.headroom, p.loads, p.neighbours = maps.Clone(heartbeat.Headroom), maps.Clone(heartbeat.Loads), heartbeat.Neighbours
 }
 
 // identifyPeer returns the peer that a heartbeat names, or nil if the heartbeat is from
@@ -457,9 +461,11 @@
 	if r.config != nil {
 		configVersion = r.config.Version
 	}
+	headroom, loads := r.headroom(), r.ownLoads()
 	return Heartbeat{
+		Loads: loads, Neighbours: r.likelyReferrals(headroom, loads),
 		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leavingSince.IsZero(), ReachesHolder: r.reachableHolder(r.Self.Zone) != nil, Generation: r.generation,
-		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Headroom: r.headroom(),
+		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Headroom: headroom,
 	}
 }
 
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -42,6 +42,8 @@
 	SuspectHolderAvoidance Mechanism = "suspects"
 	// OverloadSpill offers jobs that are refused for overload to a zone that has room.
 	OverloadSpill Mechanism = "spill"
+	// ZoneBalancing refers jobs that have to wait to a zone that can start them earlier.
+	ZoneBalancing Mechanism = "balance"
 	// StandbyConnections keeps connections to the targets open at the holder's successors.
 	StandbyConnections Mechanism = "standby"
 	// CrashIsolation places a task under which a target has crashed apart from other tasks.
@@ -51,7 +53,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, ZoneBalancing, StandbyConnections, CrashIsolation,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/shallotrouter/shallotrouter/internal/balancer"
 	"github.com/shallotrouter/shallotrouter/internal/holder"
 )
 
@@ -61,6 +62,8 @@
 	cells                     map[string]*cell     // by zone
 	followedZones             map[string]bool      // other zones whose holders this host needs, see followZones
 	spilledAt                 map[string]time.Time // when a job was last sent to another zone, by zone
+	balancer                  balancer.Balancer    // decides which jobs are referred to other zones
+	referralLikelyAt          time.Time            // when jobs were last likely to be referred
 	claimsRequestedAt         time.Time            // when this host last requested the claims from the store
 	pendingClaim              *pendingClaim        // claim that waits for the store; nil for none
 
@@ -134,6 +137,7 @@
 	r.largestCapacities = make(map[serviceKind]Resources)
 	r.meanWorkByRoute = make(map[string]float64)
 	r.routeShares = make(map[string]*share)
+	r.balancer = balancer.New(queuePackingRatio)
 	r.queue.Less = mustStartEarlier
 	r.cell(r.Self.Zone)
 	if len(r.Seeds) > 0 {
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -57,6 +57,9 @@
 		}
 		zones[zone] = true
 	}
+	for _, zone := range r.referralZones() {
+		follow(zone)
+	}
 	for zone, at := range r.spilledAt {
 		if r.now.Sub(at) < spillFollowDuration {
 			follow(zone)
@@ -100,7 +103,7 @@
 	if q.holder != "" {
 		return q.zone
 	}
-	if q.spill.zone != "" {
+	if q.spill.zone != "" && !q.spill.returned {
 		return q.spill.zone
 	}
 	if !r.servesElsewhere() {
@@ -194,7 +197,7 @@
 		if holder == nil || r.isEvacuated(zone) {
 			continue
 		}
-		if p := r.peers[holder.Address]; p != nil && (best == nil || p.headroom[j.spec.Service] > best.headroom[j.spec.Service]) {
+		if p := r.peers[holder.Address]; p != nil && r.now.Sub(p.lastHeartbeatReceivedAt) <= r.balancer.MaxAge && (best == nil || p.headroom[j.spec.Service] > best.headroom[j.spec.Service]) {
 			best, bestZone = p, zone
 		}
 	}
@@ -211,11 +214,12 @@
 	zone      string
 	refusal   Verdict // of the own zone's holder
 	startedAt time.Time
+	returned  bool // to the own zone; see returnHome
 }
 
 // hasFailed reports whether the holder of the other zone should have been reached by now.
 func (s *spill) hasFailed(now time.Time) bool {
-	return s.zone != "" && now.Sub(s.startedAt) > maxSpillWait
+	return s.zone != "" && !s.returned && now.Sub(s.startedAt) > maxSpillWait
 }
 
 // spillRequest offers a request that its holder refused for overload to the holder of the zone
@@ -230,5 +234,17 @@
 	r.spilledAt[q.spill.zone] = r.now
 	r.followZones()
 	r.offerRequest(q)
+	if refusal.Referred && q.holder == "" && len(q.previousZones) == 0 {
+		r.returnHome(q)
+	}
 	return true
 }
+
+// endFailedSpill goes on with a request whose spill has failed.
+func (r *Router) endFailedSpill(q *request) {
+	if q.spill.refusal.Referred {
+		r.returnHome(q)
+		return
+	}
+	r.answerRequest(q, q.spill.refusal)
+}
