internal/profiler, internal/router: each target has a speed of its own

Where the speed of a target does not depend on its kind, tasks were placed as if all targets of a kind were equally fast, and steadily slow targets were ejected again and again. Jobs whose tasks are all long counted against every target that ran them.

The holder now learns a factor for each process of a target, shrunk towards the mean of its kind, and uses it wherever the speed of the kind is used. A task that would be late at a target that is slow for its kind waits while it can be in time at another. Slow runs do not count against targets if most runs of their job are slow. The last attempt of a task avoids targets that have not done well lately. Successors get a bounded summary.

--- a/internal/meter/host.go
+++ b/internal/meter/host.go
@@ -37,6 +37,7 @@
 	DirectoryAge  prometheus.Gauge // seconds since this host read the directory
 	Evacuated     prometheus.Gauge // evacuated zones
 	EvacuationAge prometheus.Gauge // seconds since this host read the evacuated zones
+	SpeedSpread   prometheus.Gauge // learned spread of the speeds of targets of one kind
 	LeaseMargin   prometheus.Gauge // shortest time until a lease with runs expires, in seconds
 }
 
@@ -64,6 +65,7 @@
 		DirectoryAge:  gauge("directory_age_seconds", "Time since this host read the directory of targets."),
 		Evacuated:     gauge("evacuated_zones", "Availability zones that are evacuated."),
 		EvacuationAge: gauge("evacuations_age_seconds", "Time since this host read the evacuated zones."),
+		SpeedSpread:   gauge("target_speed_spread", "Learned standard deviation of the logarithms of the speeds of targets of one kind; 0 while they count as equal."),
 		LeaseMargin:   gauge("lease_margin_seconds", "Shortest time until a lease with runs expires."),
 	}
 	h.Steps = prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -72,7 +74,7 @@
 	})
 	h.Registry.MustRegister(
 		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Violations, h.Omitted, h.Steps,
-		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.LeaseMargin,
+		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.SpeedSpread, h.LeaseMargin,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return h
@@ -94,6 +96,7 @@
 	h.DirectoryAge.Set(v.DirectoryAge.Seconds())
 	h.Evacuated.Set(float64(v.EvacuatedZones))
 	h.EvacuationAge.Set(v.EvacuationsAge.Seconds())
+	h.SpeedSpread.Set(v.SpeedSpread)
 	h.LeaseMargin.Set(v.LeaseMargin.Seconds())
 	if v.Config != nil {
 		h.ConfigVersion.Set(float64(v.Config.Version))
--- a/internal/modeler/uneven_test.go
+++ b/internal/modeler/uneven_test.go
@@ -11,7 +11,7 @@
 // at its heaviest usual load.
 func TestUnevenTargetsAreUsed(t *testing.T) {
 	t.Parallel()
-	for name, site := range map[string]func() Simulation{"tables": Tables} {
+	for name, site := range map[string]func() Simulation{"tables": Tables, "pricing": Pricing} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			sim := site()
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -232,8 +232,8 @@
 		if t.Service != spec.Service || !r.isSoonUsable(t) {
 			continue
 		}
-		total += int(float64(t.Capacity.CPU) / (r.speedFactor(t.kind()) * r.coldFactorOf(t)))
-		if t.fenced && !r.isUsable(t) || r.isCold(t) && r.isLateAt(j, t) {
+		total += int(float64(t.Capacity.CPU) / (r.speedFactorOf(t) * r.coldFactorOf(t)))
+		if t.fenced && !r.isUsable(t) || (r.isCold(t) || r.isSlowProfile(t)) && r.isLateAt(j, t) {
 			continue
 		}
 		if spec.Need.CPU > 0 && r.hasRoomFor(t, spec.Need) {
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -96,6 +96,9 @@
 	if err := checkCrashes(h.Crashes); err != nil {
 		return err
 	}
+	if err := checkTargetSpeeds(h.TargetSpeeds, h.SpeedSpread); err != nil {
+		return err
+	}
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
--- a/internal/router/cold.go
+++ b/internal/router/cold.go
@@ -62,7 +62,7 @@
 // recordColdRun adds the run time of a run at a cold target. Such runs are not added to the
 // models of warm targets.
 func (r *Router) recordColdRun(n *run, runTime time.Duration) {
-	warmRunTime := n.job.taskRunTime.Seconds() * r.speedFactor(n.target.kind())
+	warmRunTime := n.job.taskRunTime.Seconds() * r.speedFactorOf(n.target)
 	r.cold.recordRun(runTime.Seconds() / max(warmRunTime, minInformativeRunTime.Seconds()))
 }
 
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/holder"
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
 	"github.com/shallotrouter/shallotrouter/internal/transitioner"
 )
 
@@ -55,6 +56,9 @@
 	likelyRetry bool
 	// exceedsShare is set if the job's route exceeded its fair share when the job arrived.
 	exceedsShare bool
+	blame        profiler.Blame // how its runs have counted against targets
+	// awaitsFaster is set once a task of the job has waited for a faster target.
+	awaitsFaster bool
 }
 
 // task is one task of a job.
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -116,9 +116,11 @@
 	}
 	kind := n.target.kind()
 	model := r.routeModelOf(n.job.spec.Route)
-	y := math.Log(runTime.Seconds()) - r.logSpeed(kind)
+	logFactor := math.Log(r.profileFactor(n.target))
+	y := math.Log(runTime.Seconds()) - r.logSpeed(kind) - logFactor
 	if model.count >= minRouteSamples {
 		deviation := y - math.Log(r.predictRunTime(&n.job.spec).Seconds())
+		r.profileOf(n.target).Record(deviation+logFactor, r.now)
 		if math.Abs(deviation) > maxLogDeviation {
 			model.recordOutlier()
 			return
@@ -193,7 +195,7 @@
 
 // expectedRunTimeAt returns the expected run time of one task of a job at a target.
 func (r *Router) expectedRunTimeAt(j *job, t *target) time.Duration {
-	return nanoseconds(float64(j.taskRunTime) * r.speedFactor(t.kind()) * r.coldFactorOf(t))
+	return nanoseconds(float64(j.taskRunTime) * r.speedFactorOf(t) * r.coldFactorOf(t))
 }
 
 // kind returns the target's kind, which is its first label, or "" if it has no labels.
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -361,6 +361,9 @@
 // updateTargetHealth counts the end of a run for or against its target.
 func (r *Router) updateTargetHealth(n *run, reason EndReason) {
 	t := n.target
+	if reason == EndDone || reason == EndFailed {
+		r.profileOf(t).RecordOutcome(reason == EndDone, r.now)
+	}
 	switch reason {
 	case EndDone:
 		r.recordFinalSlowdown(n, r.now.Sub(n.sentAt))
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
+)
 
 // Message is a message from one entry host to another. Exactly one field is set.
 type Message struct {
@@ -105,6 +109,11 @@
 	// Routes and Speeds are a holder's learned state. Most heartbeats leave them out.
 	Routes []RouteStats `cbor:"10,keyasint,omitempty"`
 	Speeds []KindSpeed  `cbor:"11,keyasint,omitempty"`
+	// TargetSpeeds are the speeds of the targets that differ most from others of their kind, and
+	// SpeedSpread is the standard deviation of the logarithms of such speeds, in thousandths. A
+	// holder sends them with the learned state to its likely successors.
+	TargetSpeeds []profiler.Speed `cbor:"19,keyasint,omitempty"`
+	SpeedSpread  int              `cbor:"20,keyasint,omitempty"`
 }
 
 // Claim states which member holds a cell. The claim with the highest token is the
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
 )
 
 const (
@@ -165,9 +167,12 @@
 	r.lastHeartbeatAt = r.now
 	r.updateMonitoredPeers()
 	heartbeat := r.newHeartbeat()
+	var targetSpeeds []profiler.Speed
+	speedSpread := 0
 	if r.holdsAnyCell() && r.now.Sub(r.learnedStateSentAt) >= learnedStateInterval {
 		r.learnedStateSentAt = r.now
 		heartbeat.Routes, heartbeat.Speeds = r.exportLearnedState()
+		targetSpeeds, speedSpread = r.profiler.Export(r.now, maxSentTargetSpeeds)
 		heartbeat.Crashes = r.crashes.recentCrashes(r.now.Add(-crashExportPeriod))
 	}
 	claims := r.knownClaims()
@@ -179,6 +184,9 @@
 		peerHeartbeat := heartbeat
 		peerHeartbeat.echoTo(p)
 		peerHeartbeat.WantsHeartbeats = r.needsHeartbeatsFrom(p)
+		if r.hubs[p.member.Address] {
+			peerHeartbeat.TargetSpeeds, peerHeartbeat.SpeedSpread = targetSpeeds, speedSpread
+		}
 		if !p.claimsSentAt.After(r.lastSharedChangeAt) || r.now.Sub(p.claimsSentAt) >= claimsInterval {
 			peerHeartbeat.Claims, peerHeartbeat.Evacuations, p.claimsSentAt = claims, r.knownEvacuations(), r.now
 		} else {
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -186,6 +186,7 @@
 	if len(heartbeat.Routes) > 0 && !r.holdsAnyCell() {
 		r.mergeLearnedState(heartbeat.Routes, heartbeat.Speeds)
 	}
+	r.importProfiles(p, heartbeat)
 	r.mergeCrashes(heartbeat.Crashes)
 	if r.isReachable(p) {
 		r.handlePeerReachable(p)
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -94,6 +94,9 @@
 		if t == nil {
 			return len(k.avoidedTargets) > 0 || r.hasExcludedCells(j)
 		}
+		if r.shouldAwaitFasterTarget(j, t) {
+			return true
+		}
 		r.startTask(j, i, t)
 	}
 	return true
@@ -179,7 +182,7 @@
 			continue
 		}
 		left := t.Capacity.Minus(t.used)
-		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.crashPenalty(crashes, t)
+		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.crashPenalty(crashes, t) + r.penaltyOfLastAttempt(j, k, t)
 		if best == nil || score < bestScore || score == bestScore && t.ID < best.ID {
 			best, bestScore = t, score
 		}
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -30,6 +30,13 @@
 	RunTimePrediction Mechanism = "times"
 	// KindSpeedLearning learns the relative speed of each kind of target.
 	KindSpeedLearning Mechanism = "speeds"
+	// TargetProfiling learns the speed of each target.
+	TargetProfiling Mechanism = "profiles"
+	// TailExemption does not count slow runs against their targets if most runs of the job are slow.
+	TailExemption Mechanism = "tails"
+	// FasterTargetWait keeps a task from a slow target, where it would be late, while it can still be in time
+	// at another.
+	FasterTargetWait Mechanism = "waits"
 	// SlowTargetEjection ejects targets whose runs take longer than expected.
 	SlowTargetEjection Mechanism = "slow"
 	// FailingTargetEjection ejects targets whose runs fail.
@@ -51,7 +58,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/holder"
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
 )
 
 // Router is the state of one entry host. The exported fields are set before the first
@@ -82,6 +83,7 @@
 	largestCapacities   map[serviceKind]Resources
 	capacityExpiresAt   time.Time // when the next of shownCapacities is dropped; zero if none is unlisted
 	cold                coldTargets
+	profiler            profiler.Profiler
 	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
 	routeShares         map[string]*share  // by route
 	learnedStateSentAt  time.Time          // when learned state was last sent to peers
@@ -217,6 +219,7 @@
 	r.checkTargets()
 	r.expireCapacities()
 	r.updateColdTargets()
+	r.refreshProfiles()
 	r.checkJobs()
 	r.checkRequests()
 	r.sendProgress()
@@ -252,13 +255,16 @@
 	// host last read them from the store.
 	EvacuatedZones int
 	EvacuationsAge time.Duration
+	// SpeedSpread is the standard deviation of the logarithms of the speeds of targets of one kind, or 0
+	// while they count as equal.
+	SpeedSpread float64
 	// LeaseMargin is the shortest time until the lease of a target with runs expires.
 	LeaseMargin time.Duration
 }
 
 // View returns the current view.
 func (r *Router) View() View {
-	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, Open: len(r.openRequests), LeaseMargin: r.leaseMargin()}
+	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), SpeedSpread: r.profiler.Spread()}
 	view.Ready = r.config != nil && r.leavingSince.IsZero() && r.reachableHolder(r.Self.Zone) != nil
 	for _, p := range r.peers {
 		if r.isReachable(p) {
--- a/internal/router/slowdown.go
+++ b/internal/router/slowdown.go
@@ -44,8 +44,10 @@
 	t := n.target
 	logSlowdown := math.Log(runTime.Seconds() / n.expectedRunTime.Seconds())
 	n.slow = logSlowdown > failedTrialLogSlowdown
-	t.slowdownSum = max(t.slowdownSum+min(logSlowdown, maxLogSlowdown+allowedLogSlowdown)-allowedLogSlowdown, 0)
-	trialFailed := t.onTrial && n.slow
+	amount := r.blameFor(n, min(logSlowdown, maxLogSlowdown+allowedLogSlowdown)-allowedLogSlowdown)
+	t.slowdownSum = max(t.slowdownSum+amount, 0)
+	trialFailed := t.onTrial && n.slow && amount > 0
+	r.recordTrial(t, logSlowdown, trialFailed)
 	if !trialFailed && t.slowdownSum < slowdownSumToEject || r.now.Before(t.ejectedUntil) || !r.canEject(t) {
 		return
 	}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
 )
 
 // target is a target of a cell that this host holds.
@@ -55,6 +57,7 @@
 	onTrial      bool      // it gets one task at a time until one succeeds
 	evacuated    bool      // its zone is evacuated
 	coldUntil    time.Time // it is slow before this time
+	profile      *profiler.Profile
 	// hasUnreadableRuns is set while the target lists runs that cannot be decoded. Nothing is known of
 	// them, so that the target is treated as one with orphans that cannot be stopped.
 	hasUnreadableRuns bool
