internal/separator, internal/router: routes that slow each other down are kept apart

Tasks of some routes take longer beside those of others at one target, which nothing in their declared needs shows. The holder now learns such pairs from finished runs and adds a small penalty to targets where one would arise. The penalty orders targets that have room and does nothing else. Successors get a bounded summary. The model can make kinds of job slow each other down; it is off by default.

--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -49,6 +49,14 @@
 	startedAt time.Time
 	duration  time.Duration
 	ended     bool
+	// reason is how the run ends, and schedule counts the schedules of its end.
+	reason   router.EndReason
+	schedule int
+	// interference is the present factor on the run time, 0 for a run whose end is not scheduled. done
+	// is the part of the run that was done at speedChangedAt.
+	interference   float64
+	done           float64
+	speedChangedAt time.Time
 }
 
 // orderHandler executes an order at a target and returns the result.
@@ -202,11 +210,9 @@
 		duration = time.Duration(float64(duration) * t.coldFactor)
 		r.duration = duration
 	}
-	sim.schedule(duration, func() {
-		if t.runs[r.taskID] == r {
-			t.endRun(r, reason)
-		}
-	})
+	r.reason, r.interference, r.speedChangedAt = reason, 1, sim.now
+	t.scheduleEndAfter(r, duration)
+	t.updateSpeeds()
 }
 
 func addResources(a, b router.Resources) router.Resources {
@@ -220,6 +226,7 @@
 	}
 	r.ended = true
 	delete(t.runs, r.taskID)
+	t.updateSpeeds()
 	t.used = t.used.Minus(r.need)
 	t.closedRuns[r.taskID] = max(t.closedRuns[r.taskID], r.number)
 	t.lastEndNumber++
@@ -262,7 +269,7 @@
 	for _, r := range t.sortedRuns() {
 		percent := 0.0
 		if t.mode != hanging {
-			percent = min(99, float64(t.sim.now.Sub(r.startedAt))/float64(r.duration)*100)
+			percent = min(99, t.doneShare(r)*100)
 		}
 		answer.Running = append(answer.Running, router.RunningTask{Task: r.taskID, Run: r.number, Percent: float64(int(percent))})
 	}
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -68,6 +68,8 @@
 	// RetryRefusedJobs makes each client retry its job once if it is refused, after the delay in
 	// the answer.
 	RetryRefusedJobs bool
+	// Interferences are the kinds of job whose tasks slow others down at one target.
+	Interferences []Interference
 	// LostAnswerShare is the share of orders and renewals that targets execute without their answer
 	// reaching the host.
 	LostAnswerShare float64
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -99,6 +99,9 @@
 	if err := checkTargetSpeeds(h.TargetSpeeds, h.SpeedSpread); err != nil {
 		return err
 	}
+	if err := checkInterferences(h.Interferences); err != nil {
+		return err
+	}
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -127,6 +127,7 @@
 		}
 		model.outliers = max(model.outliers-1, 0)
 		r.updateSpeed(kind, deviation)
+		r.learnInterference(n, deviation, runTime)
 	}
 	model.addSample(math.Log(declaredRunTime(&n.job.spec).Seconds()), y)
 }
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -306,6 +306,7 @@
 	if n.target.runs[name] != n {
 		return
 	}
+	r.recordOverlap(n)
 	delete(n.target.runs, name)
 	n.target.used = n.target.used.Minus(n.need)
 	if n.suspect {
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/profiler"
+	"github.com/shallotrouter/shallotrouter/internal/separator"
 )
 
 // Message is a message from one entry host to another. Exactly one field is set.
@@ -114,6 +115,9 @@
 	// holder sends them with the learned state to its likely successors.
 	TargetSpeeds []profiler.Speed `cbor:"19,keyasint,omitempty"`
 	SpeedSpread  int              `cbor:"20,keyasint,omitempty"`
+	// Interferences are the pairs of routes whose tasks slow each other down. They are sent like
+	// TargetSpeeds.
+	Interferences []separator.Pair `cbor:"21,keyasint,omitempty"`
 }
 
 // Claim states which member holds a cell. The claim with the highest token is the
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shallotrouter/shallotrouter/internal/profiler"
+	"github.com/shallotrouter/shallotrouter/internal/separator"
 )
 
 const (
@@ -168,11 +169,13 @@
 	r.updateMonitoredPeers()
 	heartbeat := r.newHeartbeat()
 	var targetSpeeds []profiler.Speed
+	var interferences []separator.Pair
 	speedSpread := 0
 	if r.holdsAnyCell() && r.now.Sub(r.learnedStateSentAt) >= learnedStateInterval {
 		r.learnedStateSentAt = r.now
 		heartbeat.Routes, heartbeat.Speeds = r.exportLearnedState()
 		targetSpeeds, speedSpread = r.profiler.Export(r.now, maxSentTargetSpeeds)
+		interferences = r.separator.Pairs(maxSentInterferences)
 		heartbeat.Crashes = r.crashes.recentCrashes(r.now.Add(-crashExportPeriod))
 	}
 	claims := r.knownClaims()
@@ -185,7 +188,7 @@
 		peerHeartbeat.echoTo(p)
 		peerHeartbeat.WantsHeartbeats = r.needsHeartbeatsFrom(p)
 		if r.hubs[p.member.Address] {
-			peerHeartbeat.TargetSpeeds, peerHeartbeat.SpeedSpread = targetSpeeds, speedSpread
+			peerHeartbeat.TargetSpeeds, peerHeartbeat.SpeedSpread, peerHeartbeat.Interferences = targetSpeeds, speedSpread, interferences
 		}
 		if !p.claimsSentAt.After(r.lastSharedChangeAt) || r.now.Sub(p.claimsSentAt) >= claimsInterval {
 			peerHeartbeat.Claims, peerHeartbeat.Evacuations, p.claimsSentAt = claims, r.knownEvacuations(), r.now
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -187,6 +187,7 @@
 		r.mergeLearnedState(heartbeat.Routes, heartbeat.Speeds)
 	}
 	r.importProfiles(p, heartbeat)
+	r.importInterferences(p, heartbeat)
 	r.mergeCrashes(heartbeat.Crashes)
 	if r.isReachable(p) {
 		r.handlePeerReachable(p)
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -182,7 +182,7 @@
 			continue
 		}
 		left := t.Capacity.Minus(t.used)
-		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.crashPenalty(crashes, t) + r.penaltyOfLastAttempt(j, k, t)
+		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.interferencePenaltyOf(j, t) + r.crashPenalty(crashes, t) + r.penaltyOfLastAttempt(j, k, t)
 		if best == nil || score < bestScore || score == bestScore && t.ID < best.ID {
 			best, bestScore = t, score
 		}
@@ -305,6 +305,7 @@
 	if n.suspect {
 		t.suspectCount++
 	}
+	r.recordCompanions(n)
 	j.mayHaveStarted = true
 	if j.firstStartAt.IsZero() {
 		j.firstStartAt = r.now
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -49,6 +49,8 @@
 	SuspectHolderAvoidance Mechanism = "suspects"
 	// OverloadSpill offers jobs that are refused for overload to a zone that has room.
 	OverloadSpill Mechanism = "spill"
+	// InterferenceAvoidance places tasks of routes that slow each other down at different targets.
+	InterferenceAvoidance Mechanism = "interference"
 	// StandbyConnections keeps connections to the targets open at the holder's successors.
 	StandbyConnections Mechanism = "standby"
 	// CrashIsolation places a task under which a target has crashed apart from other tasks.
@@ -58,7 +60,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, StandbyConnections, CrashIsolation,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,7 @@
 
 	"github.com/shallotrouter/shallotrouter/internal/holder"
 	"github.com/shallotrouter/shallotrouter/internal/profiler"
+	"github.com/shallotrouter/shallotrouter/internal/separator"
 )
 
 // Router is the state of one entry host. The exported fields are set before the first
@@ -84,6 +85,7 @@
 	capacityExpiresAt   time.Time // when the next of shownCapacities is dropped; zero if none is unlisted
 	cold                coldTargets
 	profiler            profiler.Profiler
+	separator           separator.Separator
 	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
 	routeShares         map[string]*share  // by route
 	learnedStateSentAt  time.Time          // when learned state was last sent to peers
@@ -220,6 +222,7 @@
 	r.expireCapacities()
 	r.updateColdTargets()
 	r.refreshProfiles()
+	r.refreshInterferences()
 	r.checkJobs()
 	r.checkRequests()
 	r.sendProgress()
@@ -312,6 +315,7 @@
 	isRemoved := func(route string) bool { return !configured[route] }
 	maps.DeleteFunc(r.routeShares, func(route string, _ *share) bool { return isRemoved(route) })
 	maps.DeleteFunc(r.meanWorkByRoute, func(route string, _ float64) bool { return isRemoved(route) })
+	r.separator.Forget(isRemoved)
 	maps.DeleteFunc(r.routeModels, func(route string, _ *history) bool { return isRemoved(route) })
 }
 
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -100,6 +100,8 @@
 	process int64
 	// suspect is set if a target had crashed under the task before this run.
 	suspect bool
+	// companions are the routes of the tasks that ran beside it.
+	companions []companion
 }
 
 type runState string
