--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -243,7 +243,7 @@
 			continue
 		}
 		total += r.effectiveCPU(t)
-		if t.fenced && !r.isUsable(t) || r.isCold(t) && r.isLateAt(j, t) {
+		if t.fenced && !r.isUsable(t) || (r.isCold(t) || r.isSlowProfile(t)) && r.isLateAt(j, t) {
 			continue
 		}
 		if spec.Need.CPU > 0 && r.hasRoomFor(t, spec.Need) {
@@ -255,7 +255,7 @@
 
 // effectiveCPU returns the CPU of a target in thousandths of a core of a target of average speed.
 func (r *Router) effectiveCPU(t *target) int {
-	return int(float64(t.Capacity.CPU) / (r.speedFactor(t.kind()) * r.coldFactorOf(t)))
+	return int(float64(t.Capacity.CPU) / (r.speedFactorOf(t) * r.coldFactorOf(t)))
 }
 
 // isSoonUsable reports whether a target can be given tasks now or in a moment. A new holder
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -108,6 +108,12 @@
 	if err := checkLoads(h.Loads, h.Neighbours); err != nil {
 		return err
 	}
+	if err := checkTargetSpeeds(h.TargetSpeeds, h.SpeedSpread); err != nil {
+		return err
+	}
+	if err := checkInterferences(h.Interferences); err != nil {
+		return err
+	}
 	return checkLearnedState(h.Routes, h.Speeds)
 }
 
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -1,6 +1,11 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
+	"github.com/shallotrouter/shallotrouter/internal/separator"
+)
 
 // Message is a message from one entry host to another. Exactly one field is set.
 type Message struct {
@@ -116,6 +121,14 @@
 	// Routes and Speeds are a holder's learned state. Most heartbeats leave them out.
 	Routes []RouteStats `cbor:"10,keyasint,omitempty"`
 	Speeds []KindSpeed  `cbor:"11,keyasint,omitempty"`
+	// TargetSpeeds are the speeds of the targets that differ most from others of their kind, and
+	// SpeedSpread is the standard deviation of the logarithms of such speeds, in thousandths. A
+	// holder sends them with the learned state to its likely successors.
+	TargetSpeeds []profiler.Speed `cbor:"22,keyasint,omitempty"`
+	SpeedSpread  int              `cbor:"23,keyasint,omitempty"`
+	// Interferences are the pairs of routes whose tasks slow each other down. They are sent like
+	// TargetSpeeds.
+	Interferences []separator.Pair `cbor:"21,keyasint,omitempty"`
 }
 
 // Claim states which member holds a cell. The claim with the highest token is the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,6 +10,8 @@
 
 	"github.com/shallotrouter/shallotrouter/internal/balancer"
 	"github.com/shallotrouter/shallotrouter/internal/holder"
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
+	"github.com/shallotrouter/shallotrouter/internal/separator"
 )
 
 // Router is the state of one entry host. The exported fields are set before the first
@@ -85,6 +87,8 @@
 	largestCapacities   map[serviceKind]Resources
 	capacityExpiresAt   time.Time // when the next of shownCapacities is dropped; zero if none is unlisted
 	cold                coldTargets
+	profiler            profiler.Profiler
+	separator           separator.Separator
 	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
 	routeShares         map[string]*share  // by route
 	learnedStateSentAt  time.Time          // when learned state was last sent to peers
@@ -227,6 +231,8 @@
 	r.checkTargets()
 	r.expireCapacities()
 	r.updateColdTargets()
+	r.refreshProfiles()
+	r.refreshInterferences()
 	r.checkJobs()
 	r.checkRequests()
 	r.sendProgress()
@@ -267,13 +273,16 @@
 	// host last read them from the store.
 	EvacuatedZones int
 	EvacuationsAge time.Duration
+	// SpeedSpread is the standard deviation of the logarithms of the speeds of targets of one kind, or 0
+	// while they count as equal.
+	SpeedSpread float64
 	// LeaseMargin is the shortest time until the lease of a target with runs expires.
 	LeaseMargin time.Duration
 }
 
 // View returns the current view.
 func (r *Router) View() View {
-	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), Open: len(r.openRequests), LeaseMargin: r.leaseMargin()}
+	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), SpeedSpread: r.profiler.Spread()}
 	view.Ready = r.config != nil && r.leavingSince.IsZero() && r.reachableHolder(r.Self.Zone) != nil
 	for _, p := range r.peers {
 		if r.isReachable(p) {
@@ -321,6 +330,7 @@
 	isRemoved := func(route string) bool { return !configured[route] }
 	maps.DeleteFunc(r.routeShares, func(route string, _ *share) bool { return isRemoved(route) })
 	maps.DeleteFunc(r.meanWorkByRoute, func(route string, _ float64) bool { return isRemoved(route) })
+	r.separator.Forget(isRemoved)
 	maps.DeleteFunc(r.routeModels, func(route string, _ *history) bool { return isRemoved(route) })
 }
 
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/shallotrouter/shallotrouter/internal/profiler"
 )
 
 // target is a target of a cell that this host holds.
@@ -55,6 +57,7 @@
 	onTrial      bool      // it gets one task at a time until one succeeds
 	evacuated    bool      // its zone is evacuated
 	coldUntil    time.Time // it is slow before this time
+	profile      *profiler.Profile
 	// hasUnreadableRuns is set while the target lists runs that cannot be decoded. Nothing is known of
 	// them, so that the target is treated as one with orphans that cannot be stopped.
 	hasUnreadableRuns bool
@@ -97,6 +100,8 @@
 	process int64
 	// suspect is set if a target had crashed under the task before this run.
 	suspect bool
+	// companions are the routes of the tasks that ran beside it.
+	companions []companion
 }
 
 type runState string
