internal/assembler: clients' requests stay within the host's memory

Cause: bodies that stop short of their end, headers and bodies of very many short fields, requests whose answers are not read and slow clients held memory without a bound, at any path and at the readiness address.

Change: the servers for clients and for readiness probes have a budgeter.Guard each, with limits from the new settings [node] memory and files, which the template fills in. Bodies are read into buffers that grow as bytes arrive, are charged, and are reused; bodies above 16 kB are decoded one at a time; bodies without a reader are not read and their connection is closed. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration apply. The garbage collector has a limit below the host's memory. Links and metrics have timeouts for reading and writing.

--- a/cmd/shallotrouter/node.go
+++ b/cmd/shallotrouter/node.go
@@ -28,6 +28,11 @@
 // and the live heap is only a few MB.
 const gcPercent = 200
 
+// memoryLimitPercent is the part of the host's memory, in percent, above which garbage is
+// collected more often. The rest is for the program itself, about 15 MB, and for the kernel's
+// buffers of connections.
+const memoryLimitPercent = 65
+
 // runNode runs an entry host on a platform of leased targets and returns the exit code.
 // If check is set, it only checks and prints the settings.
 func runNode(path, text string, check bool) int {
@@ -40,6 +45,9 @@
 		return printSettings(os.Stdout, settings.Values)
 	}
 	debug.SetGCPercent(gcPercent)
+	if settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryLimitPercent / 100)
+	}
 	metrics := meter.NewHost()
 	queue := &logger.Queue{Output: os.Stdout, MaxBytes: settings.LogBufferBytes, OnDrop: metrics.Omitted.Inc}
 	queue.Init()
--- a/internal/assembler/node.go
+++ b/internal/assembler/node.go
@@ -4,21 +4,16 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"os"
 	"runtime"
 	"sync"
 	"time"
 
-	"github.com/ansel1/merry/v2"
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shallotrouter/shallotrouter/internal/driver"
-	"github.com/shallotrouter/shallotrouter/internal/inspector"
 	"github.com/shallotrouter/shallotrouter/internal/limiter"
 	"github.com/shallotrouter/shallotrouter/internal/linker"
 	"github.com/shallotrouter/shallotrouter/internal/loader"
@@ -29,11 +24,6 @@
 	"github.com/shallotrouter/shallotrouter/platform"
 )
 
-// clientIdleTimeout is the time after which a client's idle connection is closed. It is
-// longer than the 15 s after which the platform's clients close theirs, so that no request
-// is sent on a connection that this host is closing.
-const clientIdleTimeout = 60 * time.Second
-
 const (
 	// millicoresPerCore converts the setting in cores to thousandths of a core.
 	millicoresPerCore = 1000
@@ -91,10 +81,12 @@
 	registry := n.newRegistrar(self, d)
 	d.Store = registry
 	frontend := &platform.Frontend{Host: d, Log: n.Log}
-	servers, err := n.openServers(frontend, links, d)
+	guards := &guards{settings: settings, clock: n.Clock, log: n.Log, meter: n.Meter, view: d.View}
+	servers, err := n.openServers(frontend, links, d, guards)
 	if err != nil {
 		return err
 	}
+	guards.run(ctx)
 	serveErrors := make(chan error, len(servers))
 	for _, s := range servers {
 		s.serveErrors = serveErrors
@@ -118,45 +110,6 @@
 	}
 }
 
-// openServers listens at the host's addresses: for clients, for readiness probes, for links
-// and, if set, for metrics.
-func (n *Node) openServers(frontend *platform.Frontend, links *linker.Linker, host stateSource) ([]*httpServer, error) {
-	settings := n.Settings
-	metrics := promhttp.HandlerFor(n.Meter.Registry, promhttp.HandlerOpts{})
-	state := &stateHandler{host: host, log: n.Log}
-	peerMux := http.NewServeMux()
-	peerMux.Handle("GET "+linker.Path, links.Handler())
-	peerMux.Handle("GET /metrics", metrics)
-	peerMux.Handle("GET "+inspector.Path, state)
-	endpoints := []struct {
-		address string
-		key     string
-		handler http.Handler
-	}{{settings.ClientAddress, "clients", frontend.ClientHandler()}, {settings.ProbeAddress, "probe", frontend.ReadinessHandler()}, {settings.BindAddress, "links or bind", peerMux}}
-	if settings.MetricsAddress != "" {
-		metricsMux := http.NewServeMux()
-		metricsMux.Handle("GET /metrics", metrics)
-		metricsMux.Handle("GET "+inspector.Path, state)
-		endpoints = append(endpoints, struct {
-			address string
-			key     string
-			handler http.Handler
-		}{settings.MetricsAddress, "metrics", metricsMux})
-	}
-	var servers []*httpServer
-	for _, e := range endpoints {
-		listener, err := net.Listen("tcp", e.address)
-		if err != nil {
-			return nil, merry.Prepend(err, "the address cannot be opened; free it or change [node] "+e.key)
-		}
-		web := &http.Server{
-			Handler: e.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}
-		servers = append(servers, &httpServer{server: web, listener: listener})
-	}
-	return servers, nil
-}
-
 // awaitShutdown waits for the start of a shutdown, drains the router and shuts the
 // servers down.
 func (n *Node) awaitShutdown(ctx context.Context, d *driver.Driver, servers []*httpServer, serveErrors chan error) error {
--- a/internal/loader/node.go
+++ b/internal/loader/node.go
@@ -18,6 +18,10 @@
 	CPUCores float64
 	// LinkMbits is the rate of the host's network link in Mbit/s; 0 means unknown.
 	LinkMbits float64
+	// MemoryMB is the host's memory in MB, and MaxFiles the number of descriptors that the
+	// daemon may open; 0 means unknown. They bound what clients' requests may take.
+	MemoryMB int
+	MaxFiles int
 	// ClientAddress, ProbeAddress, LinkAddress and MetricsAddress are the addresses on
 	// which the daemon listens for clients, the load balancer, other entry hosts and
 	// monitoring. If MetricsAddress is empty, the metrics are served at ProbeAddress.
@@ -79,6 +83,8 @@
 	v.Zone = s.RequiredText("zone", "name the host's availability zone")
 	v.CPUCores = s.Float("power", 1, 0.001, 1024)
 	v.LinkMbits = s.Float("link", 0, 0, 1_000_000)
+	v.MemoryMB = s.Int("memory", 0, 0, 1<<30)
+	v.MaxFiles = s.Int("files", 0, 0, 1<<30)
 	v.ClientAddress = s.RequiredText("clients", "write the address for clients, such as 127.0.0.1:7100")
 	v.ProbeAddress = s.RequiredText("probe", "write the address for the load balancer, such as 127.0.0.1:7101")
 	v.LinkAddress = s.RequiredText("links", "write the address for other entry hosts, such as 127.0.0.1:7102")
--- a/internal/meter/host.go
+++ b/internal/meter/host.go
@@ -24,6 +24,9 @@
 	Messages     *prometheus.CounterVec   // messages between hosts, by direction and kind
 	Bytes        *prometheus.CounterVec   // encoded bytes of messages, by direction and kind
 	StoreCalls   *prometheus.CounterVec   // calls to the store, by call and result
+	Limited      *prometheus.CounterVec   // refused requests and closed connections of clients, by address, action and cause
+	HeldBytes    *prometheus.GaugeVec     // bytes that clients' connections hold, by address
+	Connections  *prometheus.GaugeVec     // open connections of clients, by address
 	Violations   *prometheus.CounterVec   // violations of invariants, by invariant
 	Omitted      prometheus.Counter       // log lines left out
 	Steps        prometheus.Histogram     // seconds per step of the router
@@ -53,6 +56,9 @@
 		Messages:      counters("link_messages_total", "Messages between entry hosts.", "direction", "kind"),
 		Bytes:         counters("link_bytes_total", "Encoded bytes of messages between entry hosts.", "direction", "kind"),
 		StoreCalls:    counters("store_calls_total", "Calls to the platform's store.", "call", "result"),
+		Limited:       counters("limited_total", "Requests refused and connections closed to protect the host.", "address", "action", "cause"),
+		HeldBytes:     gauges("held_bytes", "Bytes that the connections of clients hold.", "address"),
+		Connections:   gauges("connections", "Open connections of clients.", "address"),
 		Violations:    counters("violations_total", "Violations of invariants; each is a defect.", "invariant"),
 		Omitted:       counter("log_lines_omitted_total", "Log lines left out to limit the log rate."),
 		WaitingTasks:  gauge("waiting_tasks", "Tasks of the held cells that wait for capacity."),
@@ -71,7 +77,7 @@
 		Buckets: prometheus.ExponentialBuckets(firstStepSeconds, 4, bucketCount),
 	})
 	h.Registry.MustRegister(
-		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Violations, h.Omitted, h.Steps,
+		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Limited, h.HeldBytes, h.Connections, h.Violations, h.Omitted, h.Steps,
 		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.LeaseMargin,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -84,6 +90,10 @@
 	}, labels)
 }
 
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 // SetGauges sets the gauges from the state of the router.
 func (h *Host) SetGauges(v router.View) {
 	h.WaitingTasks.Set(float64(v.Waiting))
