internal/router: unanswered orders are repeated early, and targets that answer none are avoided

A Start without an answer was sent once more after 100 ms and then stopped, and a Stop was repeated after 150 ms. While half of the orders to targets are executed seconds late, most short jobs were late and room was held by runs in doubt.

The type orderAnswers decides from the answers to earlier orders. Once orders go unanswered, a Start is repeated as the same run after the mean time of an answer and four deviations (10 to 100 ms), within the same 200 ms in all, and a Stop as early up to six times. An answered Stop stays valid when the Stop is sent again. A list whose clock has passed the lease end of the last Start proves that the run is over. Targets that leave more orders unanswered than others are placed last, most of all for jobs with many tasks; one that leaves ten in a row unanswered gets no tasks until a probe, a Stop that was sent before, is answered. At most a third of a service is avoided. If many renewals go unanswered too, they wait for 100 ms instead of 450 and a target counts as unresponsive after six. Mechanism "early" switches it off.

Metrics and log lines tell the share of unanswered orders, the targets avoided and the room kept.

--- a/internal/meter/host.go
+++ b/internal/meter/host.go
@@ -38,6 +38,11 @@
 	Evacuated     prometheus.Gauge // evacuated zones
 	EvacuationAge prometheus.Gauge // seconds since this host read the evacuated zones
 	LeaseMargin   prometheus.Gauge // shortest time until a lease with runs expires, in seconds
+
+	UnansweredOrders prometheus.Gauge // share of recent orders without an answer
+	AvoidedTargets   prometheus.Gauge // targets that get no tasks because they answer no orders
+	UnconfirmedRuns  prometheus.Gauge // runs that may have started, or may still start
+	UnconfirmedCores prometheus.Gauge // cores that are kept for these runs
 }
 
 // NewHost returns a Host with its own registry.
@@ -65,6 +70,11 @@
 		Evacuated:     gauge("evacuated_zones", "Availability zones that are evacuated."),
 		EvacuationAge: gauge("evacuations_age_seconds", "Time since this host read the evacuated zones."),
 		LeaseMargin:   gauge("lease_margin_seconds", "Shortest time until a lease with runs expires."),
+
+		UnansweredOrders: gauge("unanswered_order_ratio", "Share of the recent start and stop orders without an answer."),
+		AvoidedTargets:   gauge("avoided_targets", "Targets that get no tasks because they answer renewals but no orders."),
+		UnconfirmedRuns:  gauge("unconfirmed_runs", "Runs whose start was not answered and that are not known to be over."),
+		UnconfirmedCores: gauge("unconfirmed_cores", "Cores that are kept for unconfirmed runs."),
 	}
 	h.Steps = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "step_seconds", Help: "Time of one step of the router.",
@@ -73,6 +83,7 @@
 	h.Registry.MustRegister(
 		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Violations, h.Omitted, h.Steps,
 		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.LeaseMargin,
+		h.UnansweredOrders, h.AvoidedTargets, h.UnconfirmedRuns, h.UnconfirmedCores,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return h
@@ -84,6 +95,9 @@
 	}, labels)
 }
 
+// millicoresPerCore converts thousandths of a core into cores.
+const millicoresPerCore = 1000
+
 // SetGauges sets the gauges from the state of the router.
 func (h *Host) SetGauges(v router.View) {
 	h.WaitingTasks.Set(float64(v.Waiting))
@@ -95,6 +109,10 @@
 	h.Evacuated.Set(float64(v.EvacuatedZones))
 	h.EvacuationAge.Set(v.EvacuationsAge.Seconds())
 	h.LeaseMargin.Set(v.LeaseMargin.Seconds())
+	h.UnansweredOrders.Set(v.Orders.UnansweredShare)
+	h.AvoidedTargets.Set(float64(v.Orders.AvoidedTargets))
+	h.UnconfirmedRuns.Set(float64(v.Orders.UnconfirmedRuns))
+	h.UnconfirmedCores.Set(float64(v.Orders.UnconfirmedCPU) / millicoresPerCore)
 	if v.Config != nil {
 		h.ConfigVersion.Set(float64(v.Config.Version))
 	}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -131,6 +131,9 @@
 	Run    int
 	Result StartResult
 	Clock  Reading
+	// Took is the time from the order to its answer, without the time for which it waited at this host
+	// before it was sent; 0 if it is not known.
+	Took time.Duration
 }
 
 // Reading is the time on a target's clock, in its milliseconds, from an answer that
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -105,7 +105,7 @@
 	}
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
-		if _, isListed := listed[name]; !isListed && !n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) {
+		if _, isListed := listed[name]; !isListed && (!n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) || n.hasLapsedUnstarted(e.Clock)) {
 			if n.process < t.incarnation {
 				r.recordLostRun(n, false)
 			}
@@ -185,10 +185,9 @@
 	if n == nil || n.number != e.Run || n.state != runStarting {
 		return
 	}
+	r.recordStart(n, e.Result, e.Took)
 	if e.Result != Running {
-		r.emit(Decision{Action: "start", Job: n.job.spec.ID, Task: e.Task, Target: t.ID, Pairs: []any{
-			"run", e.Run, "outcome", e.Result, "took", r.formatAge(n.sentAt),
-		}})
+		r.logFailedStart(n, e)
 	}
 	switch {
 	case e.Result == Running:
@@ -209,18 +208,31 @@
 	r.placementNeeded = true
 }
 
-// canRetryStart reports whether a Start order that was not answered may be sent once more. In
+// logFailedStart logs that a Start was rejected or not answered.
+func (r *Router) logFailedStart(n *run, e StartAnswered) {
+	isRepeated := e.Result == NoAnswer && r.canRetryStart(n) && r.orders.areUnanswered(r.now)
+	r.emit(Decision{Action: "start", Job: n.job.spec.ID, Task: e.Task, Target: e.Target, Routine: isRepeated, Pairs: []any{
+		"run", e.Run, "outcome", e.Result, "took", r.formatAge(n.sentAt), "attempts", n.attempts,
+	}})
+}
+
+// canRetryStart reports whether a Start order that was not answered may be sent again. In
 // an evacuated zone it may not: the target may not have seen the first order, so that the
 // second would start the run. The run is stopped instead.
 func (r *Router) canRetryStart(n *run) bool {
-	return !n.retried && !n.job.ended && !n.target.evacuated && r.isEnabled(StartRetry)
+	return n.attempts < r.orders.startAttempts(r.now, r.Bounds.OrderTimeout) && r.mayRepeatStart(n)
+}
+
+// mayRepeatStart reports whether the Start order of a run may be sent more than once.
+func (r *Router) mayRepeatStart(n *run) bool {
+	return !n.job.ended && !n.target.evacuated && r.isEnabled(StartRetry)
 }
 
 // retryStart sends a Start order once more, over a new connection. A target executes the same
 // run only once, so a lost answer costs no run time.
 func (r *Router) retryStart(n *run) {
 	n.retried = true
-	r.emit(CloseIdle{ID: n.target.ID})
+	r.closeIdleAfterOrder(n.target)
 	r.sendStart(n)
 }
 
@@ -231,7 +243,7 @@
 	t := n.target
 	n.state = runUnconfirmed
 	r.stopRun(n)
-	r.emit(CloseIdle{ID: t.ID})
+	r.closeIdleAfterOrder(t)
 	r.pollTarget(t)
 	if result == Fenced {
 		r.handleFenced(t, t.token)
@@ -270,8 +282,13 @@
 		n.state = runStopping
 	}
 	n.stopSentAt = r.now
-	n.confirmedAt = time.Time{}
-	r.emit(Stop{Target: n.target.Target, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.Bounds.OrderTimeout})
+	n.stops++
+	if !n.stopAcknowledged {
+		n.confirmedAt = time.Time{}
+	}
+	stop := Stop{Target: n.target.Target, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.stopTimeout()}
+	r.orders.targetOf(n.target.ID).lastStop = stop
+	r.emit(stop)
 }
 
 // handleStopAnswered handles the answer to a Stop order. The run is over once a run list that was
@@ -281,11 +298,16 @@
 	if t == nil {
 		return
 	}
+	r.recordOrder(t, e.Acknowledged)
 	n := t.runs[e.Task]
-	if n == nil || n.number != e.Run || !e.Acknowledged {
+	if n == nil || n.number != e.Run {
+		return
+	}
+	if !e.Acknowledged {
+		r.repeatStop(n)
 		return
 	}
-	n.confirmedAt = r.now
+	n.confirmedAt, n.stopAcknowledged = r.now, true
 	r.pollTarget(t)
 }
 
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		left := t.Capacity.Minus(t.used)
-		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.crashPenalty(crashes, t)
+		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.crashPenalty(crashes, t) + r.orders.penalty(r.now, t.ID, j.spec.Count)
 		if best == nil || score < bestScore || score == bestScore && t.ID < best.ID {
 			best, bestScore = t, score
 		}
@@ -322,8 +322,10 @@
 func (r *Router) sendStart(n *run) {
 	t := n.target
 	r.extendRunExpiry(t)
+	leaseEnd, timeout := t.leaseEnd(r.now, r.Bounds.LeaseDuration), r.startTimeout(n)
+	n.recordAttempt(r.now, leaseEnd)
 	r.emit(Start{
 		Target: t.Target, Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
-		LeaseEnd: t.leaseEnd(r.now, r.Bounds.LeaseDuration), Timeout: r.Bounds.OrderTimeout,
+		LeaseEnd: leaseEnd, Timeout: timeout,
 	})
 }
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -46,12 +46,14 @@
 	StandbyConnections Mechanism = "standby"
 	// CrashIsolation places a task under which a target has crashed apart from other tasks.
 	CrashIsolation Mechanism = "isolation"
+	// EarlyRepeats repeats orders early, and avoids targets, while orders go without an answer.
+	EarlyRepeats Mechanism = "early"
 )
 
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, StandbyConnections, CrashIsolation, EarlyRepeats,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -75,6 +75,7 @@
 	endedJobs           []*job                   // by retainedUntil, earliest first
 	unreported          map[string]*Progress     // progress that is not reported yet, by address of the job's host
 	crashes             crashLedger              // targets that crashed under tasks
+	orders              orderAnswers             // which orders targets answer
 	routeModels         map[string]*history      // by route
 	kindSpeeds          map[string]*KindSpeed    // by kind of target
 	meanWorkByRoute     map[string]float64       // mean work of a job, by route
@@ -254,11 +255,13 @@
 	EvacuationsAge time.Duration
 	// LeaseMargin is the shortest time until the lease of a target with runs expires.
 	LeaseMargin time.Duration
+	// Orders is what the targets of the held cells leave unanswered.
+	Orders OrdersView
 }
 
 // View returns the current view.
 func (r *Router) View() View {
-	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, Open: len(r.openRequests), LeaseMargin: r.leaseMargin()}
+	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), Orders: r.ordersView()}
 	view.Ready = r.config != nil && r.leavingSince.IsZero() && r.reachableHolder(r.Self.Zone) != nil
 	for _, p := range r.peers {
 		if r.isReachable(p) {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -86,6 +86,8 @@
 	// Ejected targets are given no tasks for a while because their runs fail, stall or
 	// are slow, or because they refused a task as unhealthy.
 	Ejected TargetStatus = "barred"
+	// Unheard targets answer renewals but no orders. They are given no tasks until they answer one.
+	Unheard TargetStatus = "unheard"
 	// OnTrial targets are on trial after an ejection: they are given one run at a time.
 	OnTrial TargetStatus = "tried"
 )
@@ -165,6 +167,8 @@
 		return Unresponsive
 	case r.now.Before(t.ejectedUntil):
 		return Ejected
+	case r.orders.isOpen(t.ID):
+		return Unheard
 	case t.onTrial:
 		return OnTrial
 	}
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -43,9 +43,11 @@
 	lastPollAt     time.Time // when the last poll was sent
 	pollAgain      bool      // a poll was requested while another was under way
 	missedRenewals int       // consecutive renewals without an answer
-	nextRenewalAt  time.Time // earliest time of the next renewal
-	listed         bool      // is in the directory
-	unlistedSince  time.Time // when it left the directory
+	// unansweredRenewals counts them also while they are frequent, see toleratesMiss.
+	unansweredRenewals int
+	nextRenewalAt      time.Time // earliest time of the next renewal
+	listed             bool      // is in the directory
+	unlistedSince      time.Time // when it left the directory
 	// failures counts the consecutive runs that failed here. A target whose runs fail is
 	// ejected until a trial succeeds.
 	failures     int
@@ -71,8 +73,17 @@
 	sentAt time.Time // when the Start order was first sent, or when the run was adopted
 	// adopted is set if a previous holder started the run, so that its start time is not known.
 	adopted bool
-	// retried is set if the Start order was sent a second time.
-	retried bool
+	// retried is set if the Start order was sent again. attempts counts its sendings, attemptAt
+	// is when it was last sent, and startLeaseEnd the latest lease end in one of them, in
+	// milliseconds of the target's clock; 0 if one of them has none.
+	retried       bool
+	attempts      int
+	attemptAt     time.Time
+	startLeaseEnd int64
+	// stops counts the Stop orders since the last pause, and stopAcknowledged is set once one was
+	// answered, after which the target starts the run no more.
+	stops            int
+	stopAcknowledged bool
 	// startClock is the target's clock, in milliseconds, when the run had started; 0 if it is
 	// not known.
 	startClock int64
@@ -217,6 +228,7 @@
 	t.incarnation, t.lastAckedEnd, t.lastReading, t.runListClock = startedAt, 0, Reading{}, 0
 	t.orphanRunNumbers, t.unmatchedEnds = make(map[string]int), make(map[string]End)
 	t.failures, t.slowdownSum, t.ejectedUntil = 0, 0, time.Time{}
+	delete(r.orders.byTarget, t.ID)
 	r.pollTarget(t) // this run list may lack runs whose Start was answered after it was requested
 }
 
@@ -234,6 +246,7 @@
 
 func (r *Router) removeTarget(t *target) {
 	delete(r.targets, t.ID)
+	delete(r.orders.byTarget, t.ID)
 	r.sortedTargets = slices.DeleteFunc(r.sortedTargets, func(other *target) bool { return other == t })
 }
 
@@ -245,7 +258,7 @@
 	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasOutdatedEntry() {
 		return false
 	}
-	return !t.hasOrphans()
+	return !t.hasOrphans() && !r.orders.isOpen(t.ID)
 }
 
 // hasOrphans reports whether a target has runs that are not known here.
@@ -294,9 +307,12 @@
 		return
 	}
 	wait := r.Bounds.RenewWait
-	if !t.fenced || t.missedRenewals > 0 || len(t.runs) == 0 {
+	if !t.fenced || t.missedRenewals > 0 || t.unansweredRenewals > 0 || len(t.runs) == 0 {
 		wait = 0
 	}
+	if r.areRenewalsUnanswered() {
+		wait = min(wait, unansweredRenewWait)
+	}
 	t.renewing = true
 	r.sendRenew(t, wait, false)
 }
@@ -324,7 +340,7 @@
 	}
 	r.emit(Renew{
 		Target: t.Target, Token: t.token, Acked: t.lastAckedEnd, LeaseEnd: leaseEnd,
-		Wait: wait, Timeout: wait + r.Bounds.RenewTimeout, Poll: poll,
+		Wait: wait, Timeout: wait + r.renewTimeout(), Poll: poll,
 	})
 }
 
@@ -343,6 +359,7 @@
 		r.renewTarget(t)
 		return
 	}
+	r.recordRenewal(t, e)
 	switch e.Result {
 	case Running:
 		r.handleRunList(t, e)
@@ -354,7 +371,9 @@
 	case Replaced:
 		r.handleReplacedTarget(t)
 	default:
-		r.handleMissedRenewal(t, e.SentAt)
+		if !r.toleratesMiss(t) {
+			r.handleMissedRenewal(t, e.SentAt)
+		}
 	}
 	if t.pollAgain {
 		r.pollTarget(t)
@@ -365,6 +384,8 @@
 // scheduleRenewal sets the time of the next renewal, and sends the renewal if it is due already.
 func (r *Router) scheduleRenewal(t *target) {
 	switch {
+	case t.missedRenewals == 0 && t.unansweredRenewals > 0:
+		t.nextRenewalAt = time.Time{}
 	case t.missedRenewals > 0:
 		t.nextRenewalAt = r.now.Add(renewRetryInterval * time.Duration(min(t.missedRenewals, 10)))
 	case len(t.runs) > 0:
@@ -405,6 +426,7 @@
 // removes targets that have left the directory.
 func (r *Router) checkTargets() {
 	r.expirePreviousTargets()
+	r.logOrderAnswers()
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
 		if r.now.After(t.runsExpireAt) && len(t.runs) > 0 {
@@ -422,6 +444,7 @@
 		}
 		r.pollDueRuns(t)
 		r.retryStops(t)
+		r.probeTarget(t)
 		r.stopOrphans(t)
 	}
 }
@@ -444,6 +467,7 @@
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
 		if (n.state == runStopping || n.state == runUnconfirmed) && r.now.Sub(n.stopSentAt) >= stopRetryInterval {
+			n.stops = 0
 			r.stopRun(n)
 		}
 	}
