internal/modeler: targets that execute orders late, and the limit on orders under way

LateOrders makes a share of the orders to a share of the targets late, by seconds or within a lease, with or without renewals. LimitOrders simulates the limit on orders under way, without which the model did not show the seconds without service.

--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -39,7 +39,7 @@
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, EvacuateZone, KillAllHosts, Burst,
-		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget,
+		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget, LateOrders,
 	}
 }
 
@@ -54,6 +54,8 @@
 	// of the run times at the zone's targets for coldTime after the evacuation; 1 or less
 	// means that they stay warm. For ShrinkTarget, it is the factor of the capacity.
 	RateFactor float64
+	// OrderShare is the share of a target's orders that LateOrders delays.
+	OrderShare float64
 	// ClockShift is by how much ShiftClock sets the clock of a host ahead, or back if negative.
 	ClockShift time.Duration
 }
@@ -79,7 +81,7 @@
 		})
 	case StoreUnavailable, StoreSlow, StoreAnswersLost:
 		sm.injectStoreFault(f)
-	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget:
+	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, LateOrders:
 		for _, id := range sm.targetIDs {
 			if sm.random.Float64() < f.TargetShare {
 				sm.injectTargetFault(f, sm.targets[id])
@@ -219,6 +221,8 @@
 		})
 	case ShrinkTarget:
 		t.shrink(f)
+	case LateOrders:
+		t.makeOrdersLate(f)
 	default:
 		t.mode = modes[f.Kind]
 		sm.schedule(f.Duration, func() {
--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -40,6 +40,7 @@
 	handledUntil time.Time     // when the last event that is handled late is handled
 	busyUntil    time.Time     // when the processor has handled all events; see DeploymentSize.EventCost
 	sentMessages int           // number of messages to other hosts
+	slots        *orderSlots   // for orders to targets
 }
 
 // startProcess starts the process unless it is running.
@@ -52,7 +53,7 @@
 	h.links, h.deliveredAt = make(map[string]bool), make(map[string]time.Time)
 	h.heldUntil, h.muted = make(map[string]time.Time), make(map[string]bool)
 	h.lag, h.handledUntil, h.busyUntil, h.silent = 0, time.Time{}, time.Time{}, silence{}
-	h.clockError = h.nextClockError
+	h.clockError, h.slots = h.nextClockError, &orderSlots{}
 	h.router = &router.Router{
 		Policy: h.sim.Policy,
 		Self: router.Member{
@@ -215,16 +216,8 @@
 		h.dial(e.Address)
 	case router.CloseLink:
 		delete(h.links, e.Address)
-	case router.Start:
-		sim.sendOrder(h, e.Target, e.Timeout, func(t *target) orderHandler { return t.handleStart(h, e) }, func(result router.StartResult, clock router.Reading) router.Event {
-			return router.StartAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Result: result, Clock: clock}
-		})
-	case router.Stop:
-		sim.sendOrder(h, e.Target, e.Timeout, func(t *target) orderHandler { return t.handleStop(e) }, func(result router.StartResult, _ router.Reading) router.Event {
-			return router.StopAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Acknowledged: result == router.Running}
-		})
-	case router.Renew:
-		sim.sendRenewal(h, e)
+	case router.Start, router.Stop, router.Renew:
+		h.sendToTarget(e)
 	case router.WriteClaims, router.SaveLearnedState, router.ReadClaims, router.ReadDirectory:
 		h.callStore(e)
 	case router.Decision:
@@ -237,6 +230,35 @@
 	}
 }
 
+// sendToTarget sends an order or a renewal to a target.
+func (h *host) sendToTarget(effect router.Effect) {
+	sim := h.sim
+	switch e := effect.(type) {
+	case router.Start:
+		h.sendLimited(func(end func()) {
+			sentAt := h.clock()
+			sim.sendOrder(h, e.Target, e.Timeout, func(t *target) orderHandler { return t.handleStart(h, e) }, func(result router.StartResult, clock router.Reading) router.Event {
+				end()
+				return router.StartAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Result: result, Clock: clock, Took: h.clock().Sub(sentAt)}
+			})
+		})
+	case router.Stop:
+		h.sendLimited(func(end func()) {
+			sim.sendOrder(h, e.Target, e.Timeout, func(t *target) orderHandler { return t.handleStop(e) }, func(result router.StartResult, _ router.Reading) router.Event {
+				end()
+				return router.StopAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Acknowledged: result == router.Running}
+			})
+		})
+	case router.Renew:
+		sentAt := h.clock()
+		if e.Wait > 0 {
+			sim.sendRenewal(h, e, sentAt, func() {})
+			return
+		}
+		h.sendLimited(func(end func()) { sim.sendRenewal(h, e, sentAt, end) })
+	}
+}
+
 // callStore executes a request to the store.
 func (h *host) callStore(effect router.Effect) {
 	store := h.sim.store
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -29,6 +29,7 @@
 	capacity, defaultCapacity router.Resources
 	earlierEntries            []earlierEntry
 	mode                      mode
+	late                      lateness
 	waitingRenewals           []func()
 }
 
@@ -307,11 +308,11 @@
 // executeLate draws whether a target executes a call some seconds late and does not answer it. The
 // call is lost if the target's process has ended by then.
 func (sm *Simulation) executeLate(t *target, delay time.Duration, execute func()) bool {
-	if sm.random.Float64() >= sm.LateOrderShare {
+	if sm.random.Float64() >= max(sm.LateOrderShare, t.late.share) {
 		return false
 	}
 	incarnation := t.incarnation
-	sm.schedule(delay+time.Duration(2+sm.random.IntN(10))*time.Second, func() {
+	sm.schedule(delay+t.drawLateness(), func() {
 		if t.up && t.incarnation == incarnation {
 			sm.executesLate = true
 			execute()
@@ -326,13 +327,14 @@
 	return sm.LostAnswerShare > 0 && sm.random.Float64() < sm.LostAnswerShare
 }
 
-// sendRenewal simulates a renewal, whose answer may wait for the end of a run.
-func (sm *Simulation) sendRenewal(h *host, e router.Renew) {
-	sentAt := h.clock()
+// sendRenewal simulates a renewal, whose answer may wait for the end of a run. sentAt is when the
+// host's router ordered it, and end is called when it has been answered or has timed out.
+func (sm *Simulation) sendRenewal(h *host, e router.Renew, sentAt time.Time, end func()) {
 	answered := false
 	answer := func(event router.RenewAnswered) {
 		if !answered {
 			answered = true
+			end()
 			h.step(event)
 		}
 	}
@@ -348,7 +350,7 @@
 	if silent && !h.silent.answersOnly {
 		return
 	}
-	if sm.LateRenewals && sm.executeLate(t, delay, func() { t.renewUnanswered(e) }) {
+	if t.executeRenewalLate(e, delay) {
 		return
 	}
 	sm.schedule(delay, func() {
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -65,6 +65,9 @@
 	LateOrderShare float64
 	// LateRenewals makes targets execute that share of the renewals late, too.
 	LateRenewals bool
+	// LimitOrders makes hosts limit the orders under way as the driver of a host does, to
+	// Bounds.MaxOrders for at most Bounds.OrderWindow each.
+	LimitOrders bool
 	// RetryRefusedJobs makes each client retry its job once if it is refused, after the delay in
 	// the answer.
 	RetryRefusedJobs bool
