--- a/internal/meter/host.go
+++ b/internal/meter/host.go
@@ -44,6 +44,11 @@
 	EvacuationAge prometheus.Gauge // seconds since this host read the evacuated zones
 	SpeedSpread   prometheus.Gauge // learned spread of the speeds of targets of one kind
 	LeaseMargin   prometheus.Gauge // shortest time until a lease with runs expires, in seconds
+
+	UnansweredOrders prometheus.Gauge // share of recent orders without an answer
+	AvoidedTargets   prometheus.Gauge // targets that get no tasks because they answer no orders
+	UnconfirmedRuns  prometheus.Gauge // runs that may have started, or may still start
+	UnconfirmedCores prometheus.Gauge // cores that are kept for these runs
 }
 
 // NewHost returns a Host with its own registry.
@@ -77,6 +82,11 @@
 		EvacuationAge: gauge("evacuations_age_seconds", "Time since this host read the evacuated zones."),
 		SpeedSpread:   gauge("target_speed_spread", "Learned standard deviation of the logarithms of the speeds of targets of one kind; 0 while they count as equal."),
 		LeaseMargin:   gauge("lease_margin_seconds", "Shortest time until a lease with runs expires."),
+
+		UnansweredOrders: gauge("unanswered_order_ratio", "Share of the recent start and stop orders without an answer."),
+		AvoidedTargets:   gauge("avoided_targets", "Targets that get no tasks because they answer renewals but no orders."),
+		UnconfirmedRuns:  gauge("unconfirmed_runs", "Runs whose start was not answered and that are not known to be over."),
+		UnconfirmedCores: gauge("unconfirmed_cores", "Cores that are kept for unconfirmed runs."),
 	}
 	h.Steps = prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "step_seconds", Help: "Time of one step of the router.",
@@ -85,6 +95,7 @@
 	h.Registry.MustRegister(
 		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Limited, h.HeldBytes, h.Connections, h.Violations, h.Omitted, h.Steps,
 		h.WaitingTasks, h.RunningTasks, h.OpenJobs, h.HeldCells, h.KeepsCells, h.Lag, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.SpeedSpread, h.LeaseMargin,
+		h.UnansweredOrders, h.AvoidedTargets, h.UnconfirmedRuns, h.UnconfirmedCores,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
 	return h
@@ -100,6 +111,9 @@
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+// millicoresPerCore converts thousandths of a core into cores.
+const millicoresPerCore = 1000
+
 // SetGauges sets the gauges from the state of the router.
 func (h *Host) SetGauges(v router.View) {
 	h.WaitingTasks.Set(float64(v.Waiting))
@@ -117,6 +131,10 @@
 	h.EvacuationAge.Set(v.EvacuationsAge.Seconds())
 	h.SpeedSpread.Set(v.SpeedSpread)
 	h.LeaseMargin.Set(v.LeaseMargin.Seconds())
+	h.UnansweredOrders.Set(v.Orders.UnansweredShare)
+	h.AvoidedTargets.Set(float64(v.Orders.AvoidedTargets))
+	h.UnconfirmedRuns.Set(float64(v.Orders.UnconfirmedRuns))
+	h.UnconfirmedCores.Set(float64(v.Orders.UnconfirmedCPU) / millicoresPerCore)
 	if v.Config != nil {
 		h.ConfigVersion.Set(float64(v.Config.Version))
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -182,7 +182,7 @@
 			continue
 		}
 		left := t.Capacity.Minus(t.used)
-		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.interferencePenaltyOf(j, t) + r.crashPenalty(crashes, t) + r.penaltyOfLastAttempt(j, k, t)
+		score := left.CPU - j.spec.Need.CPU + r.penalty(j, t) + r.interferencePenaltyOf(j, t) + r.crashPenalty(crashes, t) + r.penaltyOfLastAttempt(j, k, t) + r.orders.penalty(r.now, t.ID, j.spec.Count)
 		if best == nil || score < bestScore || score == bestScore && t.ID < best.ID {
 			best, bestScore = t, score
 		}
@@ -327,8 +327,10 @@
 	t := n.target
 	r.extendRunExpiry(t)
 	r.startRate.add(r.now)
+	leaseEnd, timeout := t.leaseEnd(r.now, r.Bounds.LeaseDuration), r.startTimeout(n)
+	n.recordAttempt(r.now, leaseEnd)
 	r.emit(Start{
 		Target: t.Target, Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
-		LeaseEnd: t.leaseEnd(r.now, r.Bounds.LeaseDuration), Timeout: r.Bounds.OrderTimeout,
+		LeaseEnd: leaseEnd, Timeout: timeout,
 	})
 }
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -61,12 +61,14 @@
 	PlannedHandover Mechanism = "handover"
 	// BusyHostPatience gives hosts that are late more time before they count as unreachable.
 	BusyHostPatience Mechanism = "patience"
+	// EarlyRepeats repeats orders early, and avoids targets, while orders go without an answer.
+	EarlyRepeats Mechanism = "early"
 )
 
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, PlannedHandover, BusyHostPatience,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -80,6 +80,7 @@
 	endedJobs           []*job                   // by retainedUntil, earliest first
 	unreported          map[string]*Progress     // progress that is not reported yet, by address of the job's host
 	crashes             crashLedger              // targets that crashed under tasks
+	orders              orderAnswers             // which orders targets answer
 	routeModels         map[string]*history      // by route
 	kindSpeeds          map[string]*KindSpeed    // by kind of target
 	meanWorkByRoute     map[string]float64       // mean work of a job, by route
@@ -278,11 +279,13 @@
 	SpeedSpread float64
 	// LeaseMargin is the shortest time until the lease of a target with runs expires.
 	LeaseMargin time.Duration
+	// Orders is what the targets of the held cells leave unanswered.
+	Orders OrdersView
 }
 
 // View returns the current view.
 func (r *Router) View() View {
-	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), SpeedSpread: r.profiler.Spread()}
+	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), SpeedSpread: r.profiler.Spread(), Orders: r.ordersView()}
 	view.Ready = r.config != nil && r.leavingSince.IsZero() && r.reachableHolder(r.Self.Zone) != nil
 	for _, p := range r.peers {
 		if r.isReachable(p) {
