--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -41,11 +41,15 @@
 	// leaving holder stops waiting for a capable successor: a claim of each of two candidates, and
 	// the verdicts of the jobs that they take over.
 	handoverReserve = time.Second
-	// weakSuccessorReserve is the part of the time before handoverReserve in which a candidate that is
-	// much weaker than the holder may be named, if it carries the demand. Before, the holder waits for one
-	// of its own strength, because the cell would move to the weak host and back: a restart of the
-	// other strong host of a zone takes 2.6 s or more.
+	// weakSuccessorReserve is the part of the time before handoverReserve in which a weaker candidate may
+	// be named: one that is not much weaker than the holder or that carries the demand. Before, the
+	// holder waits for one of its own strength, because a takeover occupies a weaker host for longer, and
+	// the cell might move to it and back: a restart of the other strong host of a zone takes 2.6 s or
+	// more.
 	weakSuccessorReserve = time.Second
+	// minSuccessorShare is the part of the holder's processor share from which a candidate is of its
+	// strength. Shares of equal machines may differ by a few per cent.
+	minSuccessorShare = 0.75
 	// maxSuccessorWarmUp bounds how long a named successor opens connections to the targets before it
 	// claims.
 	maxSuccessorWarmUp = 800 * time.Millisecond
@@ -98,11 +102,14 @@
 
 // isCapable reports whether a candidate may be named now. A host whose strength is not known may.
 func (in *handoverInput) isCapable(m Member) bool {
-	if m.CPUShare <= 0 || !hasMuchLessCPU(m, in.holder) {
+	if m.CPUShare <= 0 || float64(m.CPUShare) >= minSuccessorShare*float64(in.holder.CPUShare) {
 		return true
 	}
 	waited := in.now.Sub(in.leavingSince)
-	return waited >= in.shutdownTimeout-handoverReserve-weakSuccessorReserve && in.demand.canBeCarriedBy(m)
+	if waited < in.shutdownTimeout-handoverReserve-weakSuccessorReserve {
+		return false
+	}
+	return !hasMuchLessCPU(m, in.holder) || in.demand.canBeCarriedBy(m)
 }
 
 // update decides again. It reports whether other hosts must be told.
