internal/router: no job is referred while spills are switched off

A referral is a spill before the refusal. TestBusyZoneUsesRoomOfOthers compares with spills switched off and found no difference, since jobs were still referred.

--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -47,9 +47,11 @@
 	StartRetry Mechanism = "repeats"
 	// SuspectHolderAvoidance offers no jobs to a holder whose heartbeat is overdue.
 	SuspectHolderAvoidance Mechanism = "suspects"
-	// OverloadSpill offers jobs that are refused for overload to a zone that has room.
+	// OverloadSpill offers jobs that are refused for overload to a zone that has room. Without
+	// it, no jobs are referred either.
 	OverloadSpill Mechanism = "spill"
-	// ZoneBalancing refers jobs that have to wait to a zone that can start them earlier.
+	// ZoneBalancing refers jobs that have to wait to a zone that can start them earlier. It needs
+	// OverloadSpill.
 	ZoneBalancing Mechanism = "balance"
 	// InterferenceAvoidance places tasks of routes that slow each other down at different targets.
 	InterferenceAvoidance Mechanism = "interference"
--- a/internal/router/refer.go
+++ b/internal/router/refer.go
@@ -126,7 +126,12 @@
 // isReferable reports whether a job may be referred: it is one of this zone's clients, and its host can
 // offer it to another zone at once.
 func (r *Router) isReferable(j *job) bool {
-	return r.holderPerZone && len(j.reachableZones) > 0 && j.zone == r.Self.Zone && r.zoneOf(j.origin) == j.zone && r.isEnabled(ZoneBalancing)
+	return r.holderPerZone && len(j.reachableZones) > 0 && j.zone == r.Self.Zone && r.zoneOf(j.origin) == j.zone && r.balancesZones()
+}
+
+// balancesZones reports whether jobs are referred to other zones. Referrals extend spills.
+func (r *Router) balancesZones() bool {
+	return r.isEnabled(ZoneBalancing) && r.isEnabled(OverloadSpill)
 }
 
 // referJob refers a job to a neighbour zone that can start it earlier, if the job's host reaches the
@@ -189,7 +194,7 @@
 			r.referralLikelyAt = r.now
 		}
 	}
-	if r.referralLikelyAt.IsZero() || r.now.Sub(r.referralLikelyAt) > referralPeriod || !r.isEnabled(ZoneBalancing) {
+	if r.referralLikelyAt.IsZero() || r.now.Sub(r.referralLikelyAt) > referralPeriod || !r.balancesZones() {
 		return nil
 	}
 	var zones []string
