--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -266,6 +266,9 @@
 	KeepsCells bool
 	// Waiting and Running count tasks of the cells that this host holds.
 	Waiting, Running int
+	// Utilization is the share of the usable targets' CPU that runs use, and Fragmentation the share that
+	// is free at targets where no waiting task fits, while tasks wait.
+	Utilization, Fragmentation float64
 	// Open counts the open requests of this host's clients.
 	Open int
 	// DirectoryAge is the time since this host last read the directory from the store.
@@ -303,6 +306,9 @@
 	for _, t := range r.targets {
 		view.Running += len(t.runs)
 	}
+	if p := r.packing(); p.total > 0 {
+		view.Utilization, view.Fragmentation = float64(p.used)/float64(p.total), float64(p.fragmented)/float64(p.total)
+	}
 	view.EvacuatedZones = len(r.evacuations.Zones)
 	if !r.evacuationsReadAt.IsZero() {
 		view.EvacuationsAge = r.now.Sub(r.evacuationsReadAt)
