--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -18,6 +18,8 @@
 	// WorkWeighting refuses a job earlier if it has much work compared with the mean of its
 	// route.
 	WorkWeighting Mechanism = "weights"
+	// SizeWeighting refuses a job earlier if its tasks are larger than the mean of the service.
+	SizeWeighting Mechanism = "sizes"
 	// OverloadBackoff tells refused clients to wait for as long as the overload is expected to
 	// last.
 	OverloadBackoff Mechanism = "spells"
@@ -47,9 +49,11 @@
 	StartRetry Mechanism = "repeats"
 	// SuspectHolderAvoidance offers no jobs to a holder whose heartbeat is overdue.
 	SuspectHolderAvoidance Mechanism = "suspects"
-	// OverloadSpill offers jobs that are refused for overload to a zone that has room.
+	// OverloadSpill offers jobs that are refused for overload to a zone that has room. Without
+	// it, no jobs are referred either.
 	OverloadSpill Mechanism = "spill"
-	// ZoneBalancing refers jobs that have to wait to a zone that can start them earlier.
+	// ZoneBalancing refers jobs that have to wait to a zone that can start them earlier. It needs
+	// OverloadSpill.
 	ZoneBalancing Mechanism = "balance"
 	// InterferenceAvoidance places tasks of routes that slow each other down at different targets.
 	InterferenceAvoidance Mechanism = "interference"
@@ -68,7 +72,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
+		WorkWeighting, SizeWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
 	}
 }
 
