--- a/internal/profiler/profiler.go
+++ b/internal/profiler/profiler.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -225,8 +226,9 @@
 // variance between the means of targets beyond what the noise of their runs explains.
 func (p *Profiler) estimateSpread(known map[string][]*Profile, now time.Time) {
 	noise, weights, targets := 0.0, 0.0, 0
-	for _, list := range known {
-		for _, f := range list {
+	kinds := slices.Sorted(maps.Keys(known)) // the order of the sums must not vary
+	for _, kind := range kinds {
+		for _, f := range known[kind] {
 			w := f.weight(now)
 			noise, weights, targets = noise+w*f.variance, weights+w, targets+1
 		}
@@ -237,7 +239,8 @@
 	}
 	p.noise = max(noise/weights, minNoise)
 	excess, scale := 0.0, 0.0
-	for _, list := range known {
+	for _, kind := range kinds {
+		list := known[kind]
 		sum, squares, mean := 0.0, 0.0, 0.0
 		for _, f := range list {
 			w := f.weight(now)
