--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -5,8 +5,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/shallotrouter/shallotrouter/internal/profiler"
 )
 
 // history is the route model: a linear regression of the logarithm of a task's run time on the
@@ -20,7 +18,6 @@
 	// outliers rises by one with each outlier and falls by one with each other task, down to
 	// zero.
 	outliers int
-	curve    profiler.Curve
 }
 
 // RouteStats are the statistics of a route as they are sent to other hosts and saved in the
@@ -63,12 +60,6 @@
 	speedWindow = 200
 	// minSpeedSamples is the number of tasks from which the speed of a kind is used.
 	minSpeedSamples = 10
-	// minCurveSamples is the number of tasks from which what the linear model leaves is learned: the whole
-	// window, before which its slope changes too much.
-	minCurveSamples = routeModelWindow
-	// minTailLog is the logarithm of the factor on the mean declared run time of a route from which a job may be of the
-	// few that take several times as long: 3.
-	minTailLog = 1.1
 	// maxLogDeviation bounds the logarithm of the factor between a run time and its prediction.
 	// A run time that deviates by more than a factor of 3 is an outlier and is not added to the
 	// model: the target is at fault rather than the prediction.
@@ -100,20 +91,7 @@
 	if model == nil || model.count < minRouteSamples || !r.isEnabled(RunTimePrediction) {
 		return declaredRunTime(spec)
 	}
-	logRunTime := model.linear(x)
-	if r.isEnabled(TailPrediction) {
-		logRunTime += model.curve.Correction(x)
-	}
-	return seconds(math.Exp(logRunTime))
-}
-
-// linear returns the linear prediction of the logarithm of a run time from that of the declared one.
-func (h *history) linear(x float64) float64 { return h.meanY + h.slope()*(x-h.meanX) }
-
-// isDeclaredTail reports whether a job declares so much more than others of its route that its run time says
-// nothing about its target.
-func (r *Router) isDeclaredTail(model *history, x float64) bool {
-	return r.isEnabled(TailPrediction) && model.count >= minCurveSamples && x-model.meanX > minTailLog
+	return seconds(math.Exp(model.meanY + model.slope()*(x-model.meanX)))
 }
 
 // slope returns the slope of the regression, between 0 and 1.
@@ -137,28 +115,21 @@
 		return
 	}
 	kind := n.target.kind()
-	model, x := r.routeModelOf(n.job.spec.Route), math.Log(declaredRunTime(&n.job.spec).Seconds())
+	model := r.routeModelOf(n.job.spec.Route)
 	logFactor := math.Log(r.profileFactor(n.target))
 	y := math.Log(runTime.Seconds()) - r.logSpeed(kind) - logFactor
 	if model.count >= minRouteSamples {
 		deviation := y - math.Log(r.predictRunTime(&n.job.spec).Seconds())
 		r.profileOf(n.target).Record(deviation+logFactor, r.now)
 		if math.Abs(deviation) > maxLogDeviation {
-			if !r.isDeclaredTail(model, x) {
-				model.recordOutlier()
-				return
-			}
-			model.curve.Add(x, y-model.linear(x))
+			model.recordOutlier()
 			return
 		}
 		model.outliers = max(model.outliers-1, 0)
 		r.updateSpeed(kind, deviation)
 		r.learnInterference(n, deviation, runTime)
 	}
-	if model.count >= minCurveSamples {
-		model.curve.Add(x, y-model.linear(x))
-	}
-	model.addSample(x, y)
+	model.addSample(math.Log(declaredRunTime(&n.job.spec).Seconds()), y)
 }
 
 // routeModelOf returns the model of a route, which it creates if there is none.
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -28,8 +28,6 @@
 	SpeedAwarePlacement Mechanism = "fast"
 	// RunTimePrediction predicts the run times of a route from those of its earlier tasks.
 	RunTimePrediction Mechanism = "times"
-	// TailPrediction predicts the run times of jobs that declare several times as much as others apart from those.
-	TailPrediction Mechanism = "curves"
 	// KindSpeedLearning learns the relative speed of each kind of target.
 	KindSpeedLearning Mechanism = "speeds"
 	// TargetProfiling learns the speed of each target.
@@ -70,7 +68,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, TailPrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
 	}
 }
 
