internal/limiter: overtaken calls free their slots without a timer for each call

Each order started a timer of 4 ms, which ran out under load, and a host whose processor is full freed slots of orders whose answers were only late, so that more orders were under way than it can carry. Now the slots are looked through when a call finds none free, from 10 ms on, and once half of the limit was answered later. The tests of the slots and of late orders pass unchanged.

--- a/internal/limiter/limiter.go
+++ b/internal/limiter/limiter.go
@@ -27,10 +27,8 @@
 // the call ends; it may be called more than once.
 func (l *Limiter) Acquire() (end func()) {
 	c := l.begin()
-	review := l.Clock.AfterFunc(ReviewDelay, func() { l.change(func() { l.slots.FreeOvertaken(l.Clock.Now(), l.MaxConcurrent) }) })
 	timeout := l.Clock.AfterFunc(l.SlotTimeout, func() { l.change(func() { l.slots.Expire(c) }) })
 	return func() {
-		review.Stop()
 		timeout.Stop()
 		l.change(func() { l.slots.End(c, l.Clock.Now(), l.MaxConcurrent) })
 	}
@@ -39,6 +37,9 @@
 // begin waits for a free slot.
 func (l *Limiter) begin() *Call {
 	l.mutex.Lock()
+	if !l.slots.HasFree(l.MaxConcurrent) {
+		l.slots.FreeOvertaken(l.Clock.Now(), l.MaxConcurrent)
+	}
 	if len(l.waiting) == 0 && l.slots.HasFree(l.MaxConcurrent) {
 		defer l.mutex.Unlock()
 		return l.slots.Begin(l.Clock.Now())
--- a/internal/limiter/slots.go
+++ b/internal/limiter/slots.go
@@ -19,12 +19,12 @@
 
 const (
 	// overtakenAfter is the age from which an overtaken call frees its slot: the time of an answer
-	// from another zone.
-	overtakenAfter = 4 * time.Millisecond
+	// from another zone, and a collection of garbage at either end.
+	overtakenAfter = 10 * time.Millisecond
 	// overtakersPerLimit is the part of the limit that must have begun later and ended: one in this
-	// number. Answers in another order seldom reach a quarter. With half of the calls unanswered,
-	// these occupy about a quarter of the slots.
-	overtakersPerLimit = 4
+	// number. At a host whose processor is full, the answers of one period arrive together and in
+	// any order, and it must not be given more calls then.
+	overtakersPerLimit = 2
 )
 
 // HasFree reports whether a slot is free.
@@ -62,6 +62,3 @@
 func (s *Slots) Expire(c *Call) {
 	*s = slices.DeleteFunc(*s, func(other *Call) bool { return other == c })
 }
-
-// ReviewDelay is the age of a call at which FreeOvertaken is due, since no other call may end then.
-const ReviewDelay = overtakenAfter
--- a/internal/modeler/late.go
+++ b/internal/modeler/late.go
@@ -57,15 +57,14 @@
 		return
 	}
 	s, limit := h.slots, h.sim.Bounds.MaxOrders
+	if !s.held.HasFree(limit) {
+		s.held.FreeOvertaken(h.clock(), limit)
+	}
 	if !s.held.HasFree(limit) {
 		s.waiting = append(s.waiting, func() { h.sendLimited(send) })
 		return
 	}
 	call := s.held.Begin(h.clock())
-	h.schedule(limiter.ReviewDelay, func() {
-		s.held.FreeOvertaken(h.clock(), limit)
-		s.admit(limit)
-	})
 	h.schedule(h.sim.Bounds.OrderWindow, func() {
 		s.held.Expire(call)
 		s.admit(limit)
