internal/balancer: jobs are referred where a neighbour has room or half of the wait

While all zones were full, a tenth shorter wait was enough to refer a job, and all hosts stayed connected to the holders of two neighbours, whose processors were full. Hosts now connect once the own zone is nearly full and a neighbour is not.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
@@ -59,7 +60,7 @@
 	// TransferTime is how much later a referred job can start.
 	TransferTime time.Duration
 	// MinGain is the least part of the own zone's wait by which the neighbour's must be shorter for a
-	// job that could also be in time in its own zone.
+	// job that cannot start there at once.
 	MinGain float64
 	// PackingRatio is the part of a zone's size that a job can count on for the work ahead of it.
 	PackingRatio float64
@@ -74,8 +75,9 @@
 		// The verdict to the job's host, its offer to the other zone, and one event in each of three
 		// queues.
 		TransferTime: 10 * time.Millisecond,
-		// Below, referrals follow the noise of loads that are up to a heartbeat old.
-		MinGain: 0.1,
+		// When all zones are full, each referral costs both holders work that they lack for placing, and
+		// smaller differences end before it pays.
+		MinGain: 0.5,
 	}
 }
 
@@ -100,7 +102,7 @@
 	if wait > j.Slack {
 		return stay
 	}
-	if stay.Action == Stay && n.Free < j.Tasks && own.Wait-n.Wait < b.minGain(own.Wait) {
+	if n.Free < j.Tasks && own.Wait-n.Wait < b.minGain(own.Wait) {
 		return stay
 	}
 	return Decision{Action: Refer, Zone: n.Zone, Wait: wait}
@@ -156,11 +158,19 @@
 	l.Wait += time.Duration(j.RunTime.Seconds() * float64(j.Tasks) / (float64(l.Size) * b.PackingRatio) * float64(time.Second))
 }
 
-// likelyShare is the free share of a zone's size below which jobs are likely to be referred: a burst of
-// half of the usual load takes a quarter of the zone within the run time of a task.
-const likelyShare = 0.25
+// likelyShare is the free share of a zone's size below which jobs are likely to be referred, and above
+// which a neighbour has room for them.
+const likelyShare = 0.125
 
-// IsReferralLikely reports whether jobs may soon have to be referred to other zones.
-func IsReferralLikely(own Load) bool {
-	return own.Wait > 0 || own.Size > 0 && float64(own.Free) < likelyShare*float64(own.Size)
+// IsReferralLikely reports whether jobs may soon have to be referred to one of the neighbours, because
+// the own zone is nearly full and the neighbour is not. While all zones are full, no host needs to be
+// connected to its neighbours.
+func IsReferralLikely(own Load, neighbours []Load) bool {
+	if own.Wait <= 0 && own.Free >= own.share() {
+		return false
+	}
+	return slices.ContainsFunc(neighbours, func(n Load) bool { return n.Size > 0 && n.Free > n.share() })
 }
+
+// share returns the number of tasks that are likelyShare of a zone's size.
+func (l Load) share() int { return int(likelyShare * float64(l.Size)) }
--- a/internal/router/refer.go
+++ b/internal/router/refer.go
@@ -159,6 +159,10 @@
 	if j.mayHaveStarted || j.mayHaveStartedEarlier || j.reoffered || slack < r.balancer.TransferTime || slack > lastReferralSlack {
 		return false
 	}
+	hasRoom := func(l balancer.Load) bool { return l.Free >= j.waitingCount }
+	if !r.isReferable(j) || !slices.ContainsFunc(r.neighbourLoads(j.spec.Service), hasRoom) {
+		return false
+	}
 	v, referred := r.referJob(j, never)
 	if referred {
 		r.shareOf(j).addDemand(r.now, -j.pendingWork())
@@ -190,7 +194,7 @@
 // holder's zone connect to the holders there, so that the first job does not wait for it.
 func (r *Router) likelyReferrals(headroom map[string]int, loads map[string]ServiceLoad) []string {
 	for service, l := range loads {
-		if balancer.IsReferralLikely(balancer.Load{Free: headroom[service], Size: l.Size, Wait: l.Wait}) {
+		if balancer.IsReferralLikely(balancer.Load{Free: headroom[service], Size: l.Size, Wait: l.Wait}, r.neighbourLoads(service)) {
 			r.referralLikelyAt = r.now
 		}
 	}
--- a/internal/router/refer_test.go
+++ b/internal/router/refer_test.go
@@ -97,7 +97,7 @@
 // TestNewHolderPublishesNoLoad guards against referrals to a holder whose queue is short only because
 // the zone's hosts have not offered their jobs again.
 func TestNewHolderPublishesNoLoad(t *testing.T) {
-	b, _ := newBusyBed(t, Heartbeat{})
+	b, _ := newBusyBed(t, Heartbeat{Headroom: map[string]int{"work": 9}, Loads: map[string]ServiceLoad{"work": {Size: 9}}})
 	b.router.cells["north"].acquiredAt = b.now
 	assert.Empty(t, b.router.ownLoads())
 	b.router.cells["north"].acquiredAt = b.now.Add(-b.router.Bounds.PeerTimeout)
@@ -106,6 +106,15 @@
 	assert.Equal(t, []string{"south"}, b.router.newHeartbeat().Neighbours)
 }
 
+// TestHostsDoNotConnectToFullZones guards against a connection of each host to the holders of zones that
+// are as full as its own, which lack the processor time for it.
+func TestHostsDoNotConnectToFullZones(t *testing.T) {
+	b, _ := newBusyBed(t, Heartbeat{Loads: map[string]ServiceLoad{"work": {Size: 9, Wait: time.Second}}})
+	b.router.cells["north"].acquiredAt = b.now.Add(-b.router.Bounds.PeerTimeout)
+	require.NotZero(t, b.router.ownLoads()["work"].Wait)
+	assert.Empty(t, b.router.newHeartbeat().Neighbours)
+}
+
 // TestOddLoadIsNotAdopted guards against loads and lists of zones that no holder can have.
 func TestOddLoadIsNotAdopted(t *testing.T) {
 	for _, odd := range []Message{
