--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -80,12 +80,13 @@
 	}
 	free, total := r.capacity(j)
 	weight := r.waitWeight(j) * r.sizeWeight(j)
-	if v, referred := r.referJob(j, seconds(r.estimateWait(j, free, total).Seconds()*weight)); referred {
+	wait := seconds(r.estimateWait(j, free, total).Seconds() * weight)
+	if v, referred := r.referJob(j, wait); referred {
 		return v, true
 	}
 	j.exceedsShare = r.exceedsFairShare(j, total)
-	wait := seconds(r.estimateWait(j, free, total).Seconds() * weight)
 	if j.exceedsShare {
+		wait = seconds(r.estimateWait(j, free, total).Seconds() * weight)
 		if v, referred := r.referJob(j, wait); referred {
 			r.shareOf(j).addDemand(r.now, -j.pendingWork())
 			return v, true
@@ -255,7 +256,7 @@
 
 // effectiveCPU returns the CPU of a target in thousandths of a core of a target of average speed.
 func (r *Router) effectiveCPU(t *target) int {
-	return int(float64(t.Capacity.CPU) / (r.speedFactorOf(t) * r.coldFactorOf(t)))
+	return int(float64(t.Capacity.CPU) / (r.speedFactor(t.kind()) * r.placementFactor(t) * r.coldFactorOf(t)))
 }
 
 // isSoonUsable reports whether a target can be given tasks now or in a moment. A new holder
--- a/internal/router/learn.go
+++ b/internal/router/learn.go
@@ -199,6 +199,12 @@
 	return nanoseconds(float64(j.taskRunTime) * r.speedFactorOf(t) * r.coldFactorOf(t))
 }
 
+// placementRunTime returns the expected run time of one task of a job at a target when a target is
+// chosen for it.
+func (r *Router) placementRunTime(j *job, t *target) time.Duration {
+	return nanoseconds(float64(j.taskRunTime) * r.speedFactor(t.kind()) * r.placementFactor(t) * r.coldFactorOf(t))
+}
+
 // kind returns the target's kind, which is its first label, or "" if it has no labels.
 func (t *Target) kind() string {
 	if len(t.Labels) == 0 {
--- a/internal/router/profile.go
+++ b/internal/router/profile.go
@@ -33,6 +33,17 @@
 	return t.profile.Factor()
 }
 
+// placementFactor returns the factor by which a task is expected to take longer at a target than at
+// others of its kind when a target is chosen for it. From preferFastMaxUtilization on, all targets are
+// needed, and only those that are slow for their kind are told apart: tasks must be packed by what fits,
+// and a preference for some targets leaves gaps at the others.
+func (r *Router) placementFactor(t *target) float64 {
+	if r.targetUtilization < preferFastMaxUtilization || r.isSlowProfile(t) {
+		return r.profileFactor(t)
+	}
+	return 1
+}
+
 // speedFactorOf returns a target's factor on the run time, or 1 if it is not known.
 func (r *Router) speedFactorOf(t *target) float64 {
 	return r.speedFactor(t.kind()) * r.profileFactor(t)
@@ -109,9 +120,10 @@
 	return lastAttemptPenalty
 }
 
-// minSlowProfile is the factor from which a target counts as slow for its kind. Smaller differences
-// are within the error of predictions.
-const minSlowProfile = 1.3
+// minSlowProfile is the factor from which a target counts as slow for its kind: more than the usual
+// stretch of an objective, so that a long task that starts there at once is late. Tasks do not wait
+// for smaller differences.
+const minSlowProfile = 1.6
 
 // isSlowProfile reports whether a target is slow compared with others of its kind.
 func (r *Router) isSlowProfile(t *target) bool { return r.profileFactor(t) >= minSlowProfile }
