internal/router: a busy host waits longer for a lost one only beside stronger hosts

All hosts are late when they start again after the loss of all, and waited up to 400 ms longer before they claimed cells. It applies now where this host or the peer is much weaker than another host.

--- a/internal/router/lag.go
+++ b/internal/router/lag.go
@@ -46,7 +46,7 @@
 // host from a lost one: either host's ticks come late, or the peer has just taken over a cell for
 // which it is weak.
 func (r *Router) lagAllowance(p *peer) time.Duration {
-	if !r.isEnabled(BusyHostPatience) {
+	if !r.isEnabled(BusyHostPatience) || !r.hasWeakSide(p) {
 		return 0
 	}
 	allowance := r.currentLag() + p.lag
@@ -60,12 +60,19 @@
 // does not answer. While this host is late itself, the answers may wait at its own processor.
 func (r *Router) claimCaution(c *cell) time.Duration {
 	p := r.peers[c.claim.Holder.Address]
-	if r.currentLag() == 0 || p == nil || p.exited || p.leaving || !r.isEnabled(BusyHostPatience) {
+	if r.currentLag() == 0 || p == nil || p.exited || p.leaving || !r.isEnabled(BusyHostPatience) || !r.hasWeakSide(p) {
 		return 0
 	}
 	return maxLagAllowance
 }
 
+// hasWeakSide reports whether this host or a peer is much weaker than another known host of this host's
+// cells. Among equal hosts, a host that is late for a moment does not wait longer for a lost one: all
+// hosts are late when they start again after the loss of all.
+func (r *Router) hasWeakSide(p *peer) bool {
+	return r.hasMuchStrongerHost(r.Self) || r.hasMuchStrongerHost(p.member)
+}
+
 // isInTakeover reports whether a peer has recently claimed a cell although it is much weaker than the
 // best known host of the cell. The orders of the takeover delay its heartbeats.
 func (r *Router) isInTakeover(p *peer) bool {
