--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -79,7 +79,7 @@
 		return v, true
 	}
 	free, total := r.capacity(j)
-	weight := r.waitWeight(j) * r.sizeWeight(j)
+	weight := r.waitWeight(j)
 	wait := seconds(r.estimateWait(j, free, total).Seconds() * weight)
 	if v, referred := r.referJob(j, wait); referred {
 		return v, true
--- a/internal/router/policy.go
+++ b/internal/router/policy.go
@@ -18,8 +18,6 @@
 	// WorkWeighting refuses a job earlier if it has much work compared with the mean of its
 	// route.
 	WorkWeighting Mechanism = "weights"
-	// SizeWeighting refuses a job earlier if its tasks are larger than the mean of the service.
-	SizeWeighting Mechanism = "sizes"
 	// OverloadBackoff tells refused clients to wait for as long as the overload is expected to
 	// last.
 	OverloadBackoff Mechanism = "spells"
@@ -72,7 +70,7 @@
 // Mechanisms returns all mechanisms that can be disabled.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
-		WorkWeighting, SizeWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
+		WorkWeighting, OverloadBackoff, ZoneAffinity, SpeedAwarePlacement, RunTimePrediction, KindSpeedLearning, TargetProfiling, FasterTargetWait, TailExemption, SlowTargetEjection, FailingTargetEjection, EarlyAbort, StartRetry, SuspectHolderAvoidance, OverloadSpill, InterferenceAvoidance, ZoneBalancing, StandbyConnections, CrashIsolation, EarlyRepeats, PlannedHandover, BusyHostPatience,
 	}
 }
 
