--- a/internal/modeler/restart_test.go
+++ b/internal/modeler/restart_test.go
@@ -59,6 +59,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			sim, actions := restartSimulation(c.length, c.faults...)
+			sim.reduceToThird()
 			sim.Run()
 			logResults(t, sim)
 			assert.Empty(t, sim.Violations)
