--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build.sh" >&2
 	exit 2
 fi
-exec target/review-standin memory review/1/record.txt
+exec target/review-standin unlisted review/1/record.txt
--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -24,9 +24,11 @@
 	hostName    = "nony24.example"
 	prefix      = "/lohu930/"
 	memoryMB    = 284
-	heartbeat   = 1500 * time.Millisecond
-	// expiry is the time after which the store removes the entry of a silent executor.
-	expiry = 3 * heartbeat
+	// rackSize is the number of executors of a rack.
+	rackSize  = 8
+	heartbeat = 1500 * time.Millisecond
+	// silentBeatsToExpiry is the number of missing heartbeats after which the store removes an entry.
+	silentBeatsToExpiry = 3
 )
 
 // site is a small deployment: daemons as processes, and stand-ins for the store, the executors and the
@@ -75,7 +77,7 @@
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	for i := range l.executors {
-		s.executors = append(s.executors, newExecutor(s, fmt.Sprintf("i-%08x", 0x7f3a0000+i), l.zones[i%len(l.zones)], fmt.Sprintf("r%d-%d", i%len(l.zones)+1, i/24), l.kinds[i%len(l.kinds)]))
+		s.executors = append(s.executors, newExecutor(s, fmt.Sprintf("i-%08x", 0x7f3a0000+i), l.zones[i%len(l.zones)], fmt.Sprintf("r%d-%d", i%len(l.zones)+1, i/len(l.zones)/rackSize), l.kinds[i%len(l.kinds)]))
 	}
 	go s.beat()
 	for i := range l.daemons {
@@ -105,22 +107,19 @@
 
 // beat writes the executors' entries and removes those of silent ones.
 func (s *site) beat() {
-	silentSince := make(map[string]time.Time)
+	silentBeats := make(map[string]int)
 	for range time.Tick(heartbeat) {
 		for _, x := range s.executors {
 			x.mutex.Lock()
 			silent := x.life == nil || x.unheard
 			x.mutex.Unlock()
 			if !silent {
-				delete(silentSince, x.id)
+				silentBeats[x.id] = 0
 				x.register()
 				continue
 			}
-			since, known := silentSince[x.id]
-			if !known {
-				silentSince[x.id] = time.Now()
-			} else if time.Since(since) >= expiry-heartbeat && !since.IsZero() {
-				silentSince[x.id] = time.Time{}
+			silentBeats[x.id]++
+			if silentBeats[x.id] == silentBeatsToExpiry {
 				s.record("the store removes the entry of %s", x.id)
 				s.store.drop("servers", x.id)
 			}
@@ -408,3 +407,13 @@
 	}
 	return response.StatusCode, string(data)
 }
+
+// await waits until a condition holds, and returns false if it does not in time.
+func (s *site) await(limit time.Duration, holds func() bool) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
