--- a/review/_standin/site.go
+++ b/review/_standin/site.go
@@ -135,6 +135,9 @@
 	for _, d := range s.daemons {
 		d.end()
 	}
+	for _, d := range s.daemons {
+		<-d.done
+	}
 	_ = os.RemoveAll(s.folder)
 }
 
@@ -204,6 +207,8 @@
 	clients, probe, links, output string
 	watchMemory                   bool
 
+	done chan struct{} // closed when the process has ended and is not started again
+
 	mutex     sync.Mutex
 	process   *os.Process
 	stopped   bool
@@ -216,7 +221,7 @@
 	name := fmt.Sprintf("edge-%s-%d", zone, number)
 	return &daemon{
 		site: s, name: name, zone: zone, settings: filepath.Join(s.folder, name+".ini"), output: filepath.Join(s.folder, name+".log"),
-		clients: freeAddress(), probe: freeAddress(), links: freeAddress(), watchMemory: watchMemory,
+		clients: freeAddress(), probe: freeAddress(), links: freeAddress(), watchMemory: watchMemory, done: make(chan struct{}),
 	}
 }
 
@@ -265,6 +270,7 @@
 
 // run keeps the process running: it is restarted after a short delay.
 func (d *daemon) run() {
+	defer close(d.done)
 	runtime.LockOSThread() // the kernel ends the daemon with the thread that started it
 	for {
 		output, err := os.OpenFile(d.output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
