--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases, after the build line of deploy/system.toml. It needs Go and nothing else.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-standin ./review/_standin
+go build -o target/review-standin ./review/standin
--- a/review/_model/main.go
+++ b/review/model/main.go
@@ -2,7 +2,7 @@
 // zone is slow while zones are evacuated and taken back. It prints the violations of the invariants, and
 // exits with 1 if there is one. It is no case of the review: nothing here runs as a process of its own.
 //
-//	go run ./review/_model -first 604 -worlds 1
+//	go run ./review/model -first 604 -worlds 1
 package main
 
 import (
--- a/review/_standin/cancel.go
+++ b/review/standin/cancel.go
@@ -36,7 +36,7 @@
 		jobs.Add(1)
 		go func() {
 			defer jobs.Done()
-			s.submitAndCancel(fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i), r.address, other, trouble)
+			s.submitAndCancel(fmt.Sprintf("%016x", 0x5c0e7a21d94b0000+i), r.address, other)
 		}()
 		time.Sleep(500 * time.Millisecond)
 		if trouble {
@@ -50,7 +50,7 @@
 }
 
 // submitAndCancel submits a job, again if its connection breaks, and cancels it while it runs.
-func (s *site) submitAndCancel(id, own string, other *daemon, trouble bool) {
+func (s *site) submitAndCancel(id, own string, other *daemon) {
 	task := id + ".0.0.0"
 	body := fmt.Sprintf(`{"spec":"%d 6800","bestEffort":true,"steps":[{"count":1,"cpu":6800,"memMb":64,"estimatedMs":%d}]}`, cancelledRun.Milliseconds(), cancelledRun.Milliseconds())
 	submittedAt := time.Now()
