router: report unlisted targets while they have runs

Cause: hosts remember a target that has left the directory for 3 s, and a new holder waits for the runs of the one before only at targets that it knows. The holder goes on renewing the leases at an unlisted target for as long as its runs last, and told nobody. Evidence: the next holder's log of such a run has 40 "fenced" lines, none that names one of the 8 unlisted targets, and the 16 "place" lines 30 ms after its claim. Ruled out: that it knew the targets and took the runs for over, and that the quarantine of known targets ended early.

Change: a holder reports unlisted targets with runs to the hosts of its cells and of the jobs, at once and each 500 ms while the runs last; a host that loses a cell tells the host that took it where it had runs. The reports end with the runs, and each is valid for 3 s, longer than two lost reports and a lease.

Related paths: origins of other cells, and a holder that takes the cells of all zones when the number of targets falls, never had these targets in their directories. Both showed in the model and are closed by the same change.

--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -39,7 +39,7 @@
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, EvacuateZone, KillAllHosts, Burst,
-		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget, LateOrders,
+		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget, LateOrders, HideTarget,
 	}
 }
 
@@ -81,7 +81,7 @@
 		})
 	case StoreUnavailable, StoreSlow, StoreAnswersLost:
 		sm.injectStoreFault(f)
-	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, LateOrders:
+	case KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, LateOrders, HideTarget:
 		for _, id := range sm.targetIDs {
 			if sm.random.Float64() < f.TargetShare {
 				sm.injectTargetFault(f, sm.targets[id])
@@ -223,6 +223,8 @@
 		t.shrink(f)
 	case LateOrders:
 		t.makeOrdersLate(f)
+	case HideTarget:
+		t.hide(f)
 	default:
 		t.mode = modes[f.Kind]
 		sm.schedule(f.Duration, func() {
--- a/internal/router/cell.go
+++ b/internal/router/cell.go
@@ -177,6 +177,7 @@
 func (r *Router) releaseCell(c *cell) {
 	c.heldHere = false
 	r.emit(Decision{Action: "holder", Pairs: []any{"zone", c.zone, "state", "given up", "held", r.formatAge(c.acquiredAt)}})
+	r.reportReleasedTargets(c)
 	for _, id := range sortedKeys(r.targets) {
 		if t := r.targets[id]; t.Zone == c.zone {
 			r.releaseTarget(t)
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -123,9 +123,7 @@
 func (r *Router) sendOffer(p *peer, q *request) {
 	if len(q.previousZones) > 0 && p.previousTargetsSentToken < q.token {
 		p.previousTargetsSentToken = q.token
-		if targets := r.targetsUnknownTo(p, q.previousZones); len(targets) > 0 {
-			r.send(p, Message{PreviousTargets: targets})
-		}
+		r.sendPreviousTargets(p, r.targetsUnknownTo(p, q.previousZones))
 	}
 	r.send(p, Message{Offer: r.newOffer(q)})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -39,6 +39,7 @@
 	standbyUsedAt        map[string]time.Time       // when the standby connections to a target were last used, by target ID
 	lastStandbyUseAt     time.Time                  // newest of these times
 	previousTargets      map[string]*previousTarget // targets from other hosts' lists or from replaced directories, by ID
+	unlistedReportedAt   time.Time                  // when unlisted targets with runs were last reported
 	directoryReadAt      time.Time                  // when this host requested the directory that it last read from the store
 	directoryRequestedAt time.Time                  // when this host last requested the directory
 	directoryLog         directoryLog               // changes between the last versions of the directory, oldest first
--- a/internal/router/sighting.go
+++ b/internal/router/sighting.go
@@ -13,11 +13,15 @@
 	reportedAt time.Time
 }
 
-// previousTargetRetention is how long a target that is not listed may still execute
-// runs of a previous holder: the time until entries reappear after a partition (2 s)
-// plus a lease.
+// previousTargetRetention is how long a target may still execute runs of a previous holder
+// after the last report on it: the time until entries reappear after a partition (2 s) plus a
+// lease.
 const previousTargetRetention = 3 * time.Second
 
+// unlistedReportInterval is the interval of reports on unlisted targets with runs. After two reports
+// that were lost, a host still knows the target for longer than the lease of its runs.
+const unlistedReportInterval = 500 * time.Millisecond
+
 // recordUnlistedTargets records the targets of the current directory that d lacks as
 // previous targets.
 func (r *Router) recordUnlistedTargets(d Directory) {
@@ -61,6 +65,58 @@
 	r.syncTargets()
 }
 
+// reportUnlistedTargets tells the hosts that may offer a job to the next holder, or become it, which
+// unlisted targets of held cells have runs. The leases there are renewed for as long as the runs last,
+// so that the time since the targets have left the directory does not bound them, and the directories
+// of other cells' hosts never had the targets.
+func (r *Router) reportUnlistedTargets() {
+	if r.now.Sub(r.unlistedReportedAt) < unlistedReportInterval {
+		return
+	}
+	r.unlistedReportedAt = r.now
+	var unlisted []Target
+	origins := make(map[string]bool)
+	for _, t := range r.sortedTargets {
+		if t.listed || !t.hasRuns() {
+			continue
+		}
+		unlisted = append(unlisted, t.Target)
+		r.previousTargets[t.ID] = &previousTarget{target: t.Target, reportedAt: r.now}
+		for _, n := range t.runs {
+			origins[n.job.origin] = true
+		}
+	}
+	for _, p := range r.sortedPeers() {
+		if r.isReachable(p) && (r.sharesCells(p.member.Zone) || origins[p.member.Address]) {
+			r.sendPreviousTargets(p, unlisted)
+		}
+	}
+}
+
+// reportReleasedTargets tells the new holder of a cell which targets had runs under this host. A
+// holder of another cell may never have had a directory with those that have left it since.
+func (r *Router) reportReleasedTargets(c *cell) {
+	var released []Target
+	for _, t := range r.sortedTargets {
+		if t.Zone == c.zone && t.hasRuns() {
+			released = append(released, t.Target)
+		}
+	}
+	if p := r.peers[c.claim.Holder.Address]; p != nil {
+		r.sendPreviousTargets(p, released)
+	}
+}
+
+// hasRuns reports whether a target may have runs, of this holder or of a previous one.
+func (t *target) hasRuns() bool { return len(t.runs) > 0 || t.hasOrphans() }
+
+// sendPreviousTargets sends a peer the targets that it may not know, if there are any.
+func (r *Router) sendPreviousTargets(p *peer, targets []Target) {
+	if len(targets) > 0 {
+		r.send(p, Message{PreviousTargets: targets})
+	}
+}
+
 // expirePreviousTargets drops previous targets that were reported longer than
 // previousTargetRetention ago.
 func (r *Router) expirePreviousTargets() {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -179,7 +179,7 @@
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
 		if !inDirectory[id] && t.listed {
-			t.listed, t.unlistedSince = false, r.now
+			t.listed, t.unlistedSince, r.unlistedReportedAt = false, r.now, time.Time{}
 			r.logTarget(t, "unlisted")
 		}
 	}
@@ -431,6 +431,7 @@
 // checkTargets sends due renewals, polls and stops, ends runs whose lease has expired and
 // removes targets that have left the directory.
 func (r *Router) checkTargets() {
+	r.reportUnlistedTargets()
 	r.expirePreviousTargets()
 	r.logOrderAnswers()
 	for _, id := range sortedKeys(r.targets) {
