router: refused and ended jobs keep no tasks

Cause: the tasks of a job were created before it was admitted, 96 bytes each, and kept with the refused job until the client's deadline. Evidence: while a holder's heap grew from 96 to 252 MB its metrics show 94 to 255 refusals, none admitted, none waiting: 0.98 MB a refusal. Ruled out: requests that pile up at the doors (the other hosts take 26 MB), and queued jobs.

Change: tasks are created on admission; an ended job is reduced to what answers repeated offers once its runs are over, and is kept for as long as before, since that keeps refusals true; the open jobs of a holder have a bound, an eighth of the host's memory, beyond which jobs are refused as overload (job_memory_bytes); labels that no target can have are shortened where they enter.

Related paths: jobs that ended after runs (460 tasks, clients that wait a minute), open jobs of very many small tasks, texts of refused jobs, long labels.

Tests that create a job by newJob now create its tasks as well.

--- a/internal/loader/node.go
+++ b/internal/loader/node.go
@@ -76,6 +76,9 @@
 	return v, nil
 }
 
+// jobMemoryPart is the part of the host's memory that open jobs may take at their holder.
+const jobMemoryPart = 8
+
 func (v *Node) readNode(doc *parser.Document) {
 	s := doc.Section("node")
 	defer s.ReportUnknownKeys()
@@ -85,6 +88,9 @@
 	v.LinkMbits = s.Float("link", 0, 0, 1_000_000)
 	v.MemoryMB = s.Int("memory", 0, 0, 1<<30)
 	v.MaxFiles = s.Int("files", 0, 0, 1<<30)
+	if v.MemoryMB > 0 {
+		v.Bounds.JobMemory = v.MemoryMB << 20 / jobMemoryPart
+	}
 	v.ClientAddress = s.RequiredText("clients", "write the address for clients, such as 127.0.0.1:7100")
 	v.ProbeAddress = s.RequiredText("probe", "write the address for the load balancer, such as 127.0.0.1:7101")
 	v.LinkAddress = s.RequiredText("links", "write the address for other entry hosts, such as 127.0.0.1:7102")
--- a/internal/meter/host.go
+++ b/internal/meter/host.go
@@ -35,6 +35,7 @@
 	RunningTasks  prometheus.Gauge // runs at targets of the held cells
 	Utilization   prometheus.Gauge // share of the usable targets' CPU that runs use
 	Fragmentation prometheus.Gauge // share of it that is free and fits no waiting task, while tasks wait
+	JobMemory     prometheus.Gauge // bytes that the open jobs of the held cells take
 	OpenJobs      prometheus.Gauge // jobs of this host's clients without an answer
 	HeldCells     prometheus.Gauge // held cells
 	KeepsCells    prometheus.Gauge // 1 while the host shuts down and keeps its cells
@@ -75,6 +76,7 @@
 		RunningTasks:  gauge("running_tasks", "Runs at the targets of the held cells."),
 		Utilization:   gauge("target_utilization", "Share of the processors of usable targets that runs use."),
 		Fragmentation: gauge("target_fragmentation", "Share of the processors of usable targets that is free at targets where no waiting task fits, while tasks wait."),
+		JobMemory:     gauge("job_memory_bytes", "Estimated memory of the open jobs of the held cells; jobs that would exceed an eighth of the host's memory are refused."),
 		OpenJobs:      gauge("open_jobs", "Jobs of this host's clients without an answer."),
 		HeldCells:     gauge("held_cells", "Availability zones whose targets this host holds."),
 		KeepsCells:    gauge("keeps_cells", "1 while this host shuts down and keeps its cells until a capable host takes them."),
@@ -98,7 +100,7 @@
 	})
 	h.Registry.MustRegister(
 		h.Answers, h.ResponseTime, h.Stages, h.Decisions, h.Orders, h.OrderTime, h.Messages, h.Bytes, h.StoreCalls, h.Limited, h.HeldBytes, h.Connections, h.Violations, h.Omitted, h.Steps,
-		h.WaitingTasks, h.RunningTasks, h.Utilization, h.Fragmentation, h.OpenJobs, h.HeldCells, h.KeepsCells, h.Lag, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.SpeedSpread, h.LeaseMargin,
+		h.WaitingTasks, h.RunningTasks, h.Utilization, h.Fragmentation, h.JobMemory, h.OpenJobs, h.HeldCells, h.KeepsCells, h.Lag, h.Members, h.ConfigVersion, h.DirectoryAge, h.Evacuated, h.EvacuationAge, h.SpeedSpread, h.LeaseMargin,
 		h.UnansweredOrders, h.AvoidedTargets, h.UnconfirmedRuns, h.UnconfirmedCores,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -124,6 +126,7 @@
 	h.RunningTasks.Set(float64(v.Running))
 	h.Utilization.Set(v.Utilization)
 	h.Fragmentation.Set(v.Fragmentation)
+	h.JobMemory.Set(float64(v.JobMemory))
 	h.OpenJobs.Set(float64(v.Open))
 	h.HeldCells.Set(float64(v.HeldCells))
 	h.KeepsCells.Set(0)
--- a/internal/meter/host_test.go
+++ b/internal/meter/host_test.go
@@ -27,5 +27,5 @@
 			assert.Regexp(t, "`"+found[1]+"[`{]", string(page))
 		}
 	}
-	assert.Equal(t, 34, count)
+	assert.Equal(t, 35, count)
 }
--- a/internal/router/beside_test.go
+++ b/internal/router/beside_test.go
@@ -34,6 +34,7 @@
 	b := newInterferingBed(t, 2)
 	b.runRoute("p", "x")
 	j := b.router.newJob(b.router.Self, &Offer{Job: twoTaskJob("j"), TimeLeft: time.Minute})
+	b.router.createTasks(j)
 	assert.Equal(t, "q", b.router.chooseTarget(j, 0).ID)
 	b.router.Policy.Disabled = InterferenceAvoidance
 	assert.Equal(t, "p", b.router.chooseTarget(j, 0).ID, "the least free CPU decides otherwise")
--- a/internal/router/bounds.go
+++ b/internal/router/bounds.go
@@ -91,6 +91,9 @@
 	// OrderWindow is how long an order counts as under way. It is half of OrderTimeout,
 	// so that orders to unresponsive targets delay other orders for less time.
 	OrderWindow time.Duration
+	// JobMemory bounds the memory of the open jobs of the held cells, in bytes, but for jobs that may
+	// have started before. It is an eighth of the memory of the smallest known host.
+	JobMemory int
 	// MaxSharedTargets is the number of targets up to which one host holds all cells.
 	// It is about three times the 48 targets of a deployment for which one host needs
 	// an eighth of a core.
@@ -127,6 +130,7 @@
 		ShutdownLinger:     2300 * time.Millisecond,
 		MaxOrders:          24,
 		OrderWindow:        50 * time.Millisecond,
+		JobMemory:          18 << 20,
 		MaxSharedTargets:   150,
 	}
 }
--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -51,6 +51,7 @@
 	}
 	before := *b.router.routeModelOf("r")
 	j := b.router.newJob(b.router.Self, &Offer{Job: twoTaskJob("j"), TimeLeft: time.Minute})
+	b.router.createTasks(j)
 	for range minColdRuns {
 		n := &run{job: j, target: b.router.targets["p"], sentAt: b.now.Add(-300 * time.Millisecond), expectedRunTime: 100 * time.Millisecond, cold: true}
 		b.router.recordRunTime(n)
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -297,14 +297,14 @@
 	if r.crashes.jobEntries[j.spec.ID] == 0 {
 		return false
 	}
-	for i := range j.tasks {
+	for i := range j.spec.Count {
 		confirmed := 0
 		for _, c := range r.crashes.crashesOf(j.spec.ID, i) {
 			if c.Confirmed {
 				confirmed++
 			}
 		}
-		if confirmed >= maxCrashes && j.tasks[i].state != taskDone {
+		if confirmed >= maxCrashes && (i >= len(j.tasks) || j.tasks[i].state != taskDone) {
 			return true
 		}
 	}
--- a/internal/router/entry.go
+++ b/internal/router/entry.go
@@ -10,8 +10,10 @@
 
 // Bounds of a usable entry.
 const (
-	// maxNameBytes bounds IDs, names and labels, as the platform's store bounds keys.
+	// maxNameBytes bounds IDs and names, as the platform's store bounds keys.
 	maxNameBytes = 200
+	// MaxLabelBytes is the maximum length of a target's label.
+	MaxLabelBytes = 200
 	// maxLabels bounds the labels of a target, which are its kind, its rack and what its
 	// operators add.
 	maxLabels = 16
@@ -64,7 +66,7 @@
 		return &EntryError{"the number of labels", fmt.Sprint(len(t.Labels))}
 	}
 	for _, label := range t.Labels {
-		if len(label) > maxNameBytes {
+		if len(label) > MaxLabelBytes {
 			return &EntryError{"a label", fmt.Sprintf("%.40q", label)}
 		}
 	}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -7,7 +7,6 @@
 
 	"github.com/shallotrouter/shallotrouter/internal/holder"
 	"github.com/shallotrouter/shallotrouter/internal/profiler"
-	"github.com/shallotrouter/shallotrouter/internal/transitioner"
 )
 
 // job is a job that this host holds, as the holder of its zone.
@@ -22,9 +21,13 @@
 	// earlierSubmissions are those that were answered before this one was offered, or that the client has
 	// replaced by one through another host.
 	earlierSubmissions []submission
-	tasks              []task
-	waitingCount       int // tasks in state taskWaiting
-	doneCount          int
+	// tasks is empty for a job that was refused when it was offered, and for an ended job whose runs are
+	// over; see reduceJob.
+	tasks        []task
+	waitingCount int // tasks in state taskWaiting
+	doneCount    int
+	runBase      int // the runs of its tasks have higher numbers
+	liveRuns     int // its runs that may be under way, also those that another run has made redundant
 	// mayHaveStarted is set once a task may have started.
 	mayHaveStarted bool
 	// mayHaveStartedEarlier is set if a task may have started for an earlier submission.
@@ -63,67 +66,6 @@
 	awaitsFaster bool
 }
 
-// task is one task of a job.
-type task struct {
-	state    taskState
-	run      *run
-	lastRun  int // highest run number used so far
-	failures int
-	// avoidedTargets are targets where the task has failed, or that were too slow for it.
-	avoidedTargets []string
-	// notBefore and previousRun keep the task waiting while a run that was started before may
-	// continue: until notBefore for a run at a target that has another holder by now, and until
-	// previousRun ends for a run of an earlier submission of the job.
-	notBefore   time.Time
-	previousRun *run
-}
-
-type taskState string
-
-const (
-	taskWaiting taskState = "waiting"
-	taskActive  taskState = "active"
-	taskDone    taskState = "done"
-)
-
-type taskEvent string
-
-const (
-	taskStart   taskEvent = "start"
-	taskRequeue taskEvent = "return"
-	taskFinish  taskEvent = "finish"
-)
-
-// taskMachine is the life cycle of a task. A finished task stays finished.
-var taskMachine = transitioner.Compile(taskWaiting,
-	transitioner.Rule[taskState, taskEvent]{Event: taskStart, Sources: []taskState{taskWaiting}, Target: taskActive},
-	transitioner.Rule[taskState, taskEvent]{Event: taskRequeue, Sources: []taskState{taskActive}, Target: taskWaiting},
-	transitioner.Rule[taskState, taskEvent]{Event: taskFinish, Sources: []taskState{taskActive, taskWaiting, taskDone}, Target: taskDone},
-)
-
-// transitionTask applies an event to a task's state, and removes the job from the queue when
-// none of its tasks waits any more. After taskRequeue, the caller queues the job again. It
-// reports a violation and returns false if the state does not allow the event.
-func (r *Router) transitionTask(j *job, index int, event taskEvent) bool {
-	k := &j.tasks[index]
-	next, ok := taskMachine.Next(k.state, event)
-	if !ok {
-		r.reportViolation("life of a task", "event %s does not apply to task %s in state %s", event, taskName(j.spec.ID, index), k.state)
-		return false
-	}
-	if k.state == taskWaiting && next != taskWaiting {
-		j.waitingCount--
-		if j.waitingCount == 0 {
-			r.queue.Remove(j)
-		}
-	}
-	if k.state != taskWaiting && next == taskWaiting {
-		j.waitingCount++
-	}
-	k.state = next
-	return true
-}
-
 // handleOffer handles a job that the host of its client offers. A nil peer stands for this
 // host.
 func (r *Router) handleOffer(p *peer, o *Offer) {
@@ -166,7 +108,7 @@
 // or nil.
 func (r *Router) admitOffer(origin Member, o *Offer, previous *job) {
 	j := r.newJob(origin, o)
-	j.inheritRuns(previous)
+	r.restoreTasks(j, o.Done, previous)
 	if c := r.cells[j.zone]; o.Token == 0 && j.arrivedAt.Before(c.acquiredAt) {
 		r.assumeEarlierHolder(j)
 	}
@@ -187,6 +129,10 @@
 	}
 	r.emit(Decision{Action: "admit", Job: j.spec.ID, Pairs: r.decisionPairs(j), Routine: true})
 	r.emitStageDuration(j, Accepted, j.arrivedAt)
+	if len(j.tasks) == 0 {
+		r.createTasks(j)
+	}
+	r.openFootprint += j.footprint(len(j.tasks))
 	r.jobs[j.spec.ID] = j
 	r.recordDeadline(j)
 	if j.reoffered {
@@ -210,6 +156,7 @@
 func (r *Router) refuseJob(j *job, v Verdict) {
 	v.SubmissionID, v.Token = j.submissionID, j.token
 	j.ended, j.verdict = true, v
+	r.openFootprint += j.footprint(len(j.tasks))
 	r.jobs[j.spec.ID] = j
 	r.retainJob(j)
 	r.sendVerdict(j.origin, v)
@@ -220,25 +167,16 @@
 	return n != nil && n.target.runs[taskName(n.job.spec.ID, n.task)] == n
 }
 
-// newJob creates a job from an offer.
+// newJob creates a job from an offer, without its tasks. An offer that is refused costs little then,
+// however many tasks it has.
 func (r *Router) newJob(origin Member, o *Offer) *job {
 	j := &job{
-		spec: o.Job, origin: origin.Address, zone: cmp.Or(o.Zone, origin.Zone), token: o.Token, submissionID: o.SubmissionID, tasks: make([]task, o.Job.Count), waitingCount: o.Job.Count,
+		spec: o.Job, origin: origin.Address, zone: cmp.Or(o.Zone, origin.Zone), token: o.Token, submissionID: o.SubmissionID, waitingCount: o.Job.Count, runBase: o.RunBase,
 		offeredAt: r.now, arrivedAt: r.now.Add(-boundDuration(o.Elapsed)), deadline: r.now.Add(min(o.TimeLeft, maxDuration)),
 		reoffered: o.Reoffered, previousZones: o.PreviousZones, reachableZones: o.ReachableZones,
 	}
 	j.spec.ExpectedRunTime, j.spec.Allowance = boundDuration(j.spec.ExpectedRunTime), boundDuration(j.spec.Allowance)
 	j.SetHeapIndex(-1)
-	for i := range j.tasks {
-		j.tasks[i].state, j.tasks[i].lastRun = taskWaiting, o.RunBase
-	}
-	for _, i := range o.Done {
-		if i >= 0 && i < len(j.tasks) && j.tasks[i].state != taskDone {
-			r.transitionTask(j, i, taskFinish)
-			j.doneCount++
-			j.mayHaveStarted = true
-		}
-	}
 	if j.reoffered {
 		j.quarantinedUntil = r.now.Add(r.Bounds.QuarantineDuration)
 	}
@@ -291,10 +229,10 @@
 
 // completeTask marks a task as done.
 func (r *Router) completeTask(j *job, index int) {
-	k := &j.tasks[index]
-	if k.state == taskDone || j.ended {
+	if j.ended || j.tasks[index].state == taskDone {
 		return
 	}
+	k := &j.tasks[index]
 	if k.run != nil {
 		r.stopRedundantRun(k)
 	}
@@ -474,6 +412,7 @@
 	for _, j := range slices.Clone(r.queue.Items()) {
 		r.recheckQueuedJob(j)
 	}
+	r.reduceJobs()
 	r.forgetJobs()
 	if r.nextDeadline.IsZero() || !r.now.After(r.nextDeadline) {
 		return
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -69,7 +69,7 @@
 	if !ok {
 		return
 	}
-	if j := r.jobs[id]; j != nil && index < len(j.tasks) {
+	if j := r.jobs[id]; j != nil && index < j.spec.Count {
 		r.completeTask(j, index)
 		return
 	}
@@ -145,7 +145,7 @@
 	if entry.Run <= maxRunNumber {
 		k.lastRun = max(k.lastRun, entry.Run)
 	}
-	t.runs[entry.Task] = n
+	t.addRun(entry.Task, n)
 	t.used = t.used.plus(n.need)
 	delete(t.orphanRunNumbers, entry.Task)
 	r.emit(Decision{Action: "takeover", Job: j.spec.ID, Task: entry.Task, Target: t.ID, Pairs: []any{"run", entry.Run}})
@@ -330,6 +330,7 @@
 	}
 	r.recordOverlap(n)
 	delete(n.target.runs, name)
+	n.job.liveRuns--
 	n.target.used = n.target.used.Minus(n.need)
 	if n.suspect {
 		n.target.suspectCount--
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -305,7 +305,7 @@
 	n := &run{job: j, task: index, number: k.lastRun, target: t, need: j.spec.Need, state: runStarting, sentAt: r.now, expectedRunTime: r.expectedRunTimeAt(j, t), cold: r.isCold(t), process: max(t.incarnation, t.StartedAt), suspect: len(r.crashes.crashesOf(j.spec.ID, index)) > 0}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	k.run = n
-	t.runs[name] = n
+	t.addRun(name, n)
 	t.used = t.used.plus(n.need)
 	if n.suspect {
 		t.suspectCount++
--- a/internal/router/profile_test.go
+++ b/internal/router/profile_test.go
@@ -70,6 +70,7 @@
 		b.router.profileOf(s).RecordOutcome(id == "s", b.now)
 	}
 	j := b.router.newJob(b.router.Self, &Offer{Job: twoTaskJob("j"), TimeLeft: time.Minute})
+	b.router.createTasks(j)
 	j.spec.MaxAttempts = 2
 	j.tasks[0].failures = 1
 	assert.Equal(t, "s", b.router.chooseTarget(j, 0).ID)
@@ -81,6 +82,7 @@
 	b := newProfiledBed(t)
 	p, q := b.router.targets["p"], b.router.targets["q"]
 	j := b.router.newJob(b.router.Self, &Offer{Job: twoTaskJob("j"), TimeLeft: time.Minute})
+	b.router.createTasks(j)
 	j.taskRunTime, j.dueAt = 100*time.Millisecond, b.now.Add(200*time.Millisecond)
 	assert.True(t, b.router.shouldAwaitFasterTarget(j, p))
 	assert.False(t, b.router.shouldAwaitFasterTarget(j, q))
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -59,13 +59,13 @@
 	return j.ended && j.verdict.Reason == Withdrawn
 }
 
-// inheritRuns makes the tasks of a job wait for runs of its earlier submission that may
-// continue, and use higher run numbers than these runs. It also remembers the submissions that
-// were answered.
-func (j *job) inheritRuns(earlier *job) {
+// inheritSubmissions remembers the earlier submissions of a job that were answered, and the numbers of
+// their runs.
+func (j *job) inheritSubmissions(earlier *job) {
 	if earlier == nil {
 		return
 	}
+	j.runBase = max(j.runBase, earlier.runBase)
 	j.mayHaveStartedEarlier = earlier.mayHaveStarted || earlier.mayHaveStartedEarlier
 	j.retainedUntil = earlier.retainedUntil
 	j.earlierSubmissions = slices.Clone(earlier.earlierSubmissions)
@@ -73,6 +73,14 @@
 	if s := (submission{earlier.origin, earlier.submissionID}); !isOpen && s != (submission{j.origin, j.submissionID}) {
 		j.earlierSubmissions = append(j.earlierSubmissions, s)
 	}
+}
+
+// inheritRuns makes the tasks of a job wait for runs of its earlier submission that may
+// continue, and use higher run numbers than these runs.
+func (j *job) inheritRuns(earlier *job) {
+	if earlier == nil {
+		return
+	}
 	for i := range min(len(j.tasks), len(earlier.tasks)) {
 		k, old := &j.tasks[i], &earlier.tasks[i]
 		k.lastRun, k.previousRun = max(k.lastRun, old.lastRun), old.run
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,6 +98,8 @@
 	placementNeeded     bool               // an event may have made it possible to place a task
 	targetUtilization   float64            // utilization of the usable targets
 	utilizationAt       time.Time          // when it was computed
+	unreducedJobs       []*job             // ended jobs that reduceJobs has not reduced
+	openFootprint       int                // memory of the open and unreduced jobs; see footprint
 	nextDeadline        time.Time          // no open job ends earlier; zero if there is none
 	// targetsReportProgress is true once a target has reported the progress of a run.
 	targetsReportProgress bool
@@ -272,6 +274,8 @@
 	// Utilization is the share of the usable targets' CPU that runs use, and Fragmentation the share that
 	// is free at targets where no waiting task fits, while tasks wait.
 	Utilization, Fragmentation float64
+	// JobMemory is about how many bytes the open jobs of the cells that this host holds take.
+	JobMemory int
 	// Open counts the open requests of this host's clients.
 	Open int
 	// DirectoryAge is the time since this host last read the directory from the store.
@@ -291,7 +295,7 @@
 
 // View returns the current view.
 func (r *Router) View() View {
-	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), SpeedSpread: r.profiler.Spread(), Orders: r.ordersView()}
+	view := View{Config: r.config, Lingering: !r.leavingSince.IsZero(), Members: 1, KeepsCells: r.handover.keeps, Lag: r.currentLag(), JobMemory: r.openFootprint, Open: len(r.openRequests), LeaseMargin: r.leaseMargin(), SpeedSpread: r.profiler.Spread(), Orders: r.ordersView()}
 	view.Ready = r.config != nil && r.leavingSince.IsZero() && r.reachableHolder(r.Self.Zone) != nil
 	for _, p := range r.peers {
 		if r.isReachable(p) {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -246,10 +246,20 @@
 		n := t.runs[name]
 		r.postponeTask(n.job, n.task, postponedUntil)
 		delete(t.runs, name)
+		n.job.liveRuns--
 	}
 	r.removeTarget(t)
 }
 
+// addRun records a run of a task in place of a former one of lower number.
+func (t *target) addRun(task string, n *run) {
+	if former := t.runs[task]; former != nil {
+		former.job.liveRuns--
+	}
+	t.runs[task] = n
+	n.job.liveRuns++
+}
+
 func (r *Router) removeTarget(t *target) {
 	delete(r.targets, t.ID)
 	r.forgetAnswers(t)
