router, platform: a start reaches only the process that it was placed at

Cause: an order names the target's ID, which survives a restart. The transport drops a connection that was reset without a word and opens a new one for the start, so that the new process gets an order that was decided on the entry and the list of runs of the old one. Evidence: the record has the start 226 ms after the return, the holder's log the "place" line with a list 538 ms old, and "restarted" 61 ms after it. Ruled out: that the holder had read the new entry, and a connection of the old process.

Change: a start names the process of the last list of runs and when that list was asked for. Otherwise nothing is sent, the task is placed elsewhere and the target is asked for its runs. A target whose entry and list are of different processes gets no tasks; before, only an older entry was recognised.

--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -164,6 +164,8 @@
 	return func() router.StartResult {
 		sim := t.sim
 		switch {
+		case e.Process.StartedAt != 0 && e.Process.StartedAt != t.entry.StartedAt:
+			return router.Restarted
 		case !t.acceptToken(e.Token):
 			return router.Fenced
 		case t.runs[e.Task] != nil && t.runs[e.Task].number == e.Run:
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -42,9 +42,20 @@
 // Redial replaces the connection to a host that does not answer.
 type Redial struct{ Address string }
 
+// Process identifies one process of a target.
+type Process struct {
+	// StartedAt is its start time in Unix milliseconds; 0 if it is not known.
+	StartedAt int64
+	// ConfirmedAt is a time at which it ran: when the newest request that it has answered was sent.
+	// A connection that was open by then does not lead to a later process.
+	ConfirmedAt time.Time
+}
+
 // Start orders a target to run a task. It is answered by one StartAnswered.
 type Start struct {
-	Target   Target
+	Target Target
+	// Process is the process that may run the task. Another one may be of another kind or capacity.
+	Process  Process
 	Token    uint64
 	Task     string
 	Run      int
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -117,6 +117,9 @@
 	Invalid StartResult = "invalid"
 	// Replaced means that another process answers at the target's address.
 	Replaced StartResult = "replaced"
+	// Restarted means that another process of the target answers than the one that the order is for.
+	// The order was not sent.
+	Restarted StartResult = "restarted"
 	// NoAnswer means that no answer arrived: the task may be running or may start
 	// later.
 	NoAnswer StartResult = "doubtful"
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -16,6 +16,7 @@
 		r.handleTargetRestart(t, e.StartedAt)
 	}
 	t.updateClock(e.Clock)
+	t.listedProcess = e.StartedAt
 	if e.StartedAt > 0 {
 		t.incarnation = e.StartedAt
 		r.updateCrashes(t.ID, e.StartedAt, true)
@@ -273,6 +274,9 @@
 		r.renewTarget(t)
 	case Replaced:
 		r.handleReplacedTarget(t)
+	case Restarted:
+		t.ejectedUntil = later(t.ejectedUntil, r.now.Add(fullTargetDelay))
+		r.pollTarget(t)
 	}
 }
 
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -23,8 +23,10 @@
 	// incarnation is the start time of the target's process in Unix milliseconds, which
 	// identifies the process; 0 if it is not known.
 	incarnation int64
-	runs        map[string]*run // by task
-	used        Resources
+	// listedProcess is the start time of the process that sent the newest run list; 0 if it is not known.
+	listedProcess int64
+	runs          map[string]*run // by task
+	used          Resources
 	// suspectCount counts the runs of tasks under which a target had crashed before.
 	suspectCount int
 	// rejectedTotal is what the runs would have used with the last task that the target rejected
@@ -151,7 +153,8 @@
 	// unhealthyEjectionDuration is how long a target that rejects a start as unhealthy is
 	// ejected.
 	unhealthyEjectionDuration = 500 * time.Millisecond
-	// fullTargetDelay is how long no task is started at a target that had no capacity for one.
+	// fullTargetDelay is how long no task is started at a target that had no capacity for one, or whose
+	// process is not the listed one.
 	fullTargetDelay = 100 * time.Millisecond
 )
 
@@ -271,7 +274,7 @@
 	if !t.fenced || !t.listed || t.Draining || t.evacuated || r.now.Before(t.ejectedUntil) || r.isUnresponsive(t) {
 		return false
 	}
-	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasOutdatedEntry() {
+	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasEntryOfOtherProcess() {
 		return false
 	}
 	return !t.hasOrphans() && !t.answers.isOpen()
@@ -280,9 +283,11 @@
 // hasOrphans reports whether a target has runs that are not known here.
 func (t *target) hasOrphans() bool { return len(t.orphanRunNumbers) > 0 || t.hasUnreadableRuns }
 
-// hasOutdatedEntry reports whether the directory has the entry of an earlier process of the
-// target, whose kind and capacity may differ.
-func (t *target) hasOutdatedEntry() bool { return t.StartedAt > 0 && t.incarnation > t.StartedAt }
+// hasEntryOfOtherProcess reports whether the directory has the entry of another process of the target
+// than the one that has sent its runs. The kind and the capacity of the two may differ.
+func (t *target) hasEntryOfOtherProcess() bool {
+	return t.StartedAt > 0 && (t.incarnation > t.StartedAt || t.listedProcess > 0 && t.listedProcess != t.StartedAt)
+}
 
 // isUnresponsive reports whether a target has missed a renewal or has not answered any for
 // longer than the interval of idle renewals.
