router: send the whole directory after a change to or from one holder a zone

What operators could see: after entries have gone, so that one host holds the cells of all zones again, hosts whose directories have one version list different targets, and some go on to place tasks at a target whose entry has gone.

Cause: while each zone has a holder of its own, each host keeps its own zone's part of a version. Changes from that version, computed by a host of one zone, were applied by hosts of another to their part.

Change: the version from before such a change identifies no list, as after targets were retained, so that the whole directory is sent.

TestChangesDoNotLeadFromListOfOneZone failed before (changes were sent).

--- a/internal/router/claim.go
+++ b/internal/router/claim.go
@@ -59,7 +59,13 @@
 	for _, p := range r.peers {
 		r.maxLinkRate = max(r.maxLinkRate, p.member.LinkRate)
 	}
-	r.holderPerZone = r.totalTargets > r.Bounds.MaxSharedTargets || r.maxLinkRate > 0 && r.totalTargets > r.maxLinkRate/(2*targetTrafficKbps)
+	perZone := r.totalTargets > r.Bounds.MaxSharedTargets || r.maxLinkRate > 0 && r.totalTargets > r.maxLinkRate/(2*targetTrafficKbps)
+	if perZone == r.holderPerZone {
+		return
+	}
+	r.holderPerZone = perZone
+	// The hosts of each zone have a list of their own of the present version, so that no changes lead from it.
+	r.directory.merged, r.directoryLog, r.directoryMessages = true, nil, nil
 }
 
 // updateTotalTargets records the number of targets in a version of the directory. Hosts
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -120,8 +120,8 @@
 	// one zone; 0 means len(Targets).
 	Total int `cbor:"3,keyasint,omitempty"`
 
-	// merged is true if targets of an earlier version were retained, so that the version does
-	// not identify the list.
+	// merged is true if the version does not identify the list: targets of an earlier version were
+	// retained, or the hosts of each zone had a list of their own.
 	merged bool
 }
 
--- a/internal/router/unlisted_test.go
+++ b/internal/router/unlisted_test.go
@@ -69,3 +69,20 @@
 	b, _ := newUnlistedBed(t)
 	assert.Contains(t, previousTargetsSent(b.receiveHeartbeat(1000), b.peer.Address), "p")
 }
+
+// TestChangesDoNotLeadFromListOfOneZone guards against a target that stays in the directories of a zone's
+// hosts after its entry has gone: when one holder takes all cells, a host of another zone, which never had
+// the target, must send them the whole directory instead of its changes.
+func TestChangesDoNotLeadFromListOfOneZone(t *testing.T) {
+	b := newHolderBed(t, 2, ClaimWon)
+	b.router.Bounds.MaxSharedTargets = 7
+	targets := newTargets(8)
+	for i := 4; i < 8; i++ {
+		targets[i].Zone = "south"
+	}
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 2, Targets: targets}})
+	require.Len(t, b.router.directory.Targets, 4, "each zone has a holder")
+	b.step(DirectoryRead{RequestedAt: b.now, Directory: Directory{Version: 3, Targets: targets[:7]}})
+	require.Len(t, b.router.directory.Targets, 7, "one holder has all cells")
+	assert.NotNil(t, b.router.directoryMessage(2).Directory)
+}
