--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -50,10 +50,11 @@
 
 // admit decides whether a job is accepted. It returns true with the verdict if the job is
 // refused: because targets have crashed under one of its tasks, because its tasks fit no target,
-// now or at its largest capacity, because it needs more memory than Bounds.JobMemory leaves, or because
-// it cannot finish in time behind the jobs that are placed before it. A job that may have started or was offered to another holder before is not
-// refused for its wait, its memory or a capacity that may grow. For the other jobs, admit also records the demand of the
-// route and charges an accepted job to the route's budget.
+// now or at its largest capacity, because it needs more memory than Bounds.JobMemory leaves, or
+// because it cannot finish in time behind the jobs that are placed before it. A job that may have
+// started or was offered to another holder before is not refused for its wait, its memory or a
+// capacity that may grow. For the other jobs, admit also records the demand of the route and
+// charges an accepted job to the route's budget.
 func (r *Router) admit(j *job) (Verdict, bool) {
 	v := Verdict{ID: j.spec.ID, Outcome: Refused}
 	if r.hasCrashingTask(j) {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -22,7 +22,7 @@
 	// replaced by one through another host.
 	earlierSubmissions []submission
 	// tasks is empty for a job that was refused when it was offered, and for an ended job whose runs are
-	// over; see reduceJob.
+	// over; see reduceJobs.
 	tasks        []task
 	waitingCount int // tasks in state taskWaiting
 	doneCount    int
