--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -18,11 +18,11 @@
 
 // job is a best-effort job of one step.
 type job struct {
-	id, prefix  string
-	tasks, cpu  int
-	length      time.Duration // of each task
-	maxPerOne   int           // tasks on one executor; 0 means any
-	budget      time.Duration
+	id, prefix string
+	tasks, cpu int
+	length     time.Duration // of each task
+	maxPerOne  int           // tasks on one executor; 0 means any
+	budget     time.Duration
 }
 
 // body returns the body of the submission.
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -82,26 +82,26 @@
 
 // route is a route of the configuration.
 type route struct {
-	name, prefix string
-	timeout      time.Duration
+	name, prefix, service string
+	timeout               time.Duration
 }
 
 // routeHost is the host name of all routes.
 const routeHost = "nony24.example"
 
-// configure writes a configuration. The service's name is that of all executors.
-func (s *site) configure(version int, service string, routes ...route) {
-	list := []map[string]any{}
+// configure writes a configuration.
+func (s *site) configure(version int, routes ...route) {
+	list, services := []map[string]any{}, []map[string]any{}
 	for _, r := range routes {
+		services = append(services, map[string]any{"name": r.service, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "preconditions": true, "standby": false})
 		list = append(list, map[string]any{
 			"name": r.name, "host": routeHost, "pathPrefix": r.prefix, "kind": "non_idempotent", "timeoutMs": r.timeout.Milliseconds(),
-			"targetLatencyMs": 60, "priority": 0, "service": service, "maxAttempts": 4, "stretchFactor": 1.6,
+			"targetLatencyMs": 60, "priority": 0, "service": r.service, "maxAttempts": 4, "stretchFactor": 1.6,
 		})
 	}
 	s.store.put("op", "config", map[string]any{
-		"version": version, "routes": list,
-		"services": []map[string]any{{"name": service, "healthPath": "/healthz", "maxConns": 64, "protocol": "h1", "tls": false, "preconditions": true, "standby": false}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"version": version, "routes": list, "services": services,
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	s.record.add("operator: version %d of the config is acknowledged", version)
 }
--- a/review/rig/split.go
+++ b/review/rig/split.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// mainRoute and otherRoute lead to services of their own.
+var (
+	mainRoute  = route{name: "r-3hwrr6x", prefix: prefix, service: service, timeout: 20 * time.Second}
+	otherRoute = route{name: "r-73d3zji", prefix: "/pufi791/", service: "dele69a", timeout: 20 * time.Second}
+)
+
 const (
 	service  = "huvo11a"
 	prefix   = "/lohu930/"
@@ -48,7 +54,7 @@
 	}
 	runs := s.record.intervals(j.id)
 	time.Sleep(time.Until(first.sentAt.Add(fullFor - 1500*time.Millisecond)))
-	background := &background{site: s, daemons: s.daemons[2:], rate: backgroundRate, length: 4 * time.Second}
+	background := &background{site: s, daemons: s.daemons[2:], prefix: prefix, rate: backgroundRate, length: 4 * time.Second}
 	go background.run()
 	time.Sleep(500 * time.Millisecond)
 	s.record.watch()
@@ -87,7 +93,7 @@
 
 // openSplit starts two zones with two daemons each, and sends some jobs to each daemon.
 func (s *site) openSplit() error {
-	s.configure(7, service, route{name: "r-3hwrr6x", prefix: prefix, timeout: 20 * time.Second})
+	s.configure(7, mainRoute)
 	for _, zone := range []string{"north", "south"} {
 		s.newExecutors(zoneExecutors, zone, service, wholeCPU)
 		if _, err := s.newDaemons(2, zone, smallMachine); err != nil {
