--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -62,13 +62,6 @@
 	return c
 }
 
-// cancel sends the cancelling of a job to a daemon.
-func (s *site) cancel(d *daemon, j job) *call {
-	c := &call{site: s, daemon: d, method: http.MethodDelete, path: j.prefix + j.id, budget: 4 * time.Second}
-	c.send()
-	return c
-}
-
 // send begins the call.
 func (c *call) send() {
 	c.done, c.sentAt = make(chan struct{}), time.Now()
