--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,7 +24,7 @@
 type scenario func(s *site, trouble bool) (broken []string, err error)
 
 // scenarios are the cases by name.
-var scenarios = map[string]scenario{"split": playSplit, "spread": playSpread, "memory": playMemory}
+var scenarios = map[string]scenario{"split": playSplit, "spread": playSpread, "memory": playMemory, "stall": playStall}
 
 func main() { os.Exit(play()) }
 
--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -19,8 +19,8 @@
 	// crowdFor is how long the crowd sends, crowdSize the number of its clients and crowdPause the time
 	// between two requests of one.
 	crowdFor   = 95 * time.Second
-	crowdSize  = 80
-	crowdPause = 25 * time.Millisecond
+	crowdSize  = 100
+	crowdPause = 20 * time.Millisecond
 	// crowdBudget is how long its clients wait for an answer.
 	crowdBudget = time.Hour
 	// restartDelay is how long the platform waits before it starts a process again.
