router: a run that outlives its job keeps other zones from starting it

The job was referred to another zone, its client's connection was reset, and its target there left the Stop unanswered for 2.3 s. When the client sent the job again 1.3 s later, its own zone had room and started it beside the first run.

Cause: the other zone's holder renewed the target's lease all the while, since a renewal holds for all runs of a target, and no other holder knew of the run. In the log of a run the verdict of the other holder (withdrawn) follows the reset within 0.1 ms, and its run ends 2.42 s later by the late Stop, with leases of 1 s; the own holder's admit shows no sign of an earlier run.

Change, where each zone has a holder of its own: a target that has left a Stop unanswered gets no longer lease and no task until it answers one, so that the run is over 1.17 s after the Stop at the latest. Heartbeats name ended jobs with such runs and the time left; a holder that is offered one of them starts none of its tasks until then, refers it to no third zone, and answers at once if that is too late for the client. The field is optional. The model gets clients whose connections are reset.

A job whose run has ended does not wait.

--- a/internal/modeler/disruption.go
+++ b/internal/modeler/disruption.go
@@ -60,6 +60,8 @@
 				sm.partition(h.name, "store", f.Duration)
 			}
 		}
+	case ResetClients:
+		sm.resetClients(f)
 	case SlowHost:
 		sm.pickHost(f.Selector).slowDown(f.Duration)
 	case ThrottleHost:
--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -39,7 +39,7 @@
 	return []FaultKind{
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, EvacuateZone, KillAllHosts, Burst,
-		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget, LateOrders, HideTarget,
+		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget, LateOrders, HideTarget, ResetClients,
 	}
 }
 
@@ -49,7 +49,7 @@
 	At          time.Duration // after the start of the load
 	Duration    time.Duration
 	Selector    string
-	TargetShare float64 // share of the targets that are affected
+	TargetShare float64 // share of the targets that are affected, or of the waiting clients for ResetClients
 	// RateFactor is the factor of the arrival rate for Burst. For EvacuateZone, it is the factor
 	// of the run times at the zone's targets for coldTime after the evacuation; 1 or less
 	// means that they stay warm. For ShrinkTarget, it is the factor of the capacity.
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -283,6 +283,10 @@
 		if r.now.Sub(j.offeredAt) > r.Bounds.OrphanGrace && j.quarantinedUntil.After(last) {
 			r.abortJob(j, Expired)
 		}
+	case r.runsElsewhere(j):
+		if r.now.Sub(j.offeredAt) > r.Bounds.OrphanGrace && r.remoteRuns.until(j.spec.ID).After(last) {
+			r.abortJob(j, Expired)
+		}
 	case r.now.After(last):
 		r.abortJob(j, Expired)
 	case r.referQueuedJob(j):
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -108,6 +108,9 @@
 	if err := checkLoads(h.Loads, h.Neighbours); err != nil {
 		return err
 	}
+	if err := checkUnstopped(h.Unstopped); err != nil {
+		return err
+	}
 	if err := checkTargetSpeeds(h.TargetSpeeds, h.SpeedSpread); err != nil {
 		return err
 	}
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -112,6 +112,10 @@
 	if c := r.cells[j.zone]; o.Token == 0 && j.arrivedAt.Before(c.acquiredAt) {
 		r.assumeEarlierHolder(j)
 	}
+	if until := r.remoteRuns.until(j.spec.ID); until.After(r.now) {
+		j.mayHaveStartedEarlier = true
+		r.emit(Decision{Action: "await", Job: j.spec.ID, Pairs: []any{"until", until.Sub(r.now).String()}})
+	}
 	if o.TimeLeft <= 0 { // a repeated offer of a job that may be forgotten here
 		j.mayHaveStartedEarlier = true
 	}
@@ -409,6 +413,9 @@
 // checkJobs aborts jobs that can no longer finish in time, removes ended jobs that need not be
 // retained and ends jobs at their deadline.
 func (r *Router) checkJobs() {
+	if r.remoteRuns.expire(r.now) {
+		r.placementNeeded = true
+	}
 	for _, j := range slices.Clone(r.queue.Items()) {
 		r.recheckQueuedJob(j)
 	}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -308,9 +308,11 @@
 		return
 	}
 	if !e.Acknowledged {
+		r.setStopOverdue(n, !n.stopAcknowledged)
 		r.repeatStop(n)
 		return
 	}
+	r.setStopOverdue(n, false)
 	n.confirmedAt, n.stopAcknowledged = r.now, true
 	r.pollTarget(t)
 }
@@ -339,6 +341,9 @@
 	if n.suspect {
 		n.target.suspectCount--
 	}
+	if n.stopOverdue {
+		n.target.overdueStops--
+	}
 	if n.target.used.CPU < 0 {
 		r.reportViolation("room of a target", "target %s has %d thousandths of a core in use", n.target.ID, n.target.used.CPU)
 	}
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -113,6 +113,9 @@
 	Successor  string `cbor:"25,keyasint,omitempty"`
 	// Lag is by how much the sender was recently late, because its processor was busy.
 	Lag time.Duration `cbor:"26,keyasint,omitempty"`
+	// Unstopped are ended jobs of the sender with runs that do not obey Stop orders. Hosts of earlier
+	// versions neither send nor read them.
+	Unstopped []UnstoppedJob `cbor:"27,keyasint,omitempty"`
 	// Loads are the loads of the targets of the sender's cell, by service, if the sender has held the
 	// cell for a while. Hosts of earlier versions neither send nor read them.
 	Loads map[string]ServiceLoad `cbor:"19,keyasint,omitempty"`
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -226,6 +226,9 @@
 		p.heartbeatsRequestedAt = r.now
 	}
 	r.updateMonitored(p)
+	if heartbeat.Sent >= p.lastPeerTimestamp && r.remoteRuns.update(r.now, p.member.Address, heartbeat.Unstopped) {
+		r.placementNeeded = true
+	}
 	p.lastPeerTimestamp = max(p.lastPeerTimestamp, heartbeat.Sent)
 	if echo := time.Unix(0, heartbeat.Echo); heartbeat.Echo != 0 && echo.After(p.lastEchoedAt) && !echo.Before(r.startedAt) && !echo.After(r.now) {
 		p.lastEchoedAt = echo
@@ -479,7 +482,7 @@
 	}
 	headroom, loads := r.headroom(), r.ownLoads()
 	return Heartbeat{
-		Loads: loads, Neighbours: r.likelyReferrals(headroom, loads),
+		Loads: loads, Neighbours: r.likelyReferrals(headroom, loads), Unstopped: r.unstoppedJobs(),
 		Member: r.Self, Sent: r.now.UnixNano(), Leaving: !r.leavingSince.IsZero(), ReachesHolder: r.reachableHolder(r.Self.Zone) != nil, Generation: r.generation,
 		KeepsCells: r.handover.keeps, Successor: r.handover.successor.Address, Lag: r.currentLag(),
 		Config: configVersion, Directory: r.directory.Version, TargetCount: r.directory.Total, DirectoryAge: directoryAge, Headroom: headroom,
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -105,11 +105,11 @@
 }
 
 // cannotStartYet reports whether a queued job may not start now: because this host does not
-// hold the cell of its zone, or because the job is quarantined, as runs of a previous holder
-// may still be under way. Such a job keeps no capacity from the jobs behind it.
+// hold the cell of its zone, or because runs of a previous holder or of the holder of another zone may
+// still be under way. Such a job keeps no capacity from the jobs behind it.
 func (r *Router) cannotStartYet(j *job) bool {
 	c := r.cells[j.zone]
-	return c == nil || !c.heldHere || j.reoffered && !r.isQuarantineOver(j)
+	return c == nil || !c.heldHere || j.reoffered && !r.isQuarantineOver(j) || r.runsElsewhere(j)
 }
 
 // isQuarantineOver reports whether no run of a previous holder can start or continue unnoticed:
--- a/internal/router/refer.go
+++ b/internal/router/refer.go
@@ -126,7 +126,7 @@
 // isReferable reports whether a job may be referred: it is one of this zone's clients, and its host can
 // offer it to another zone at once.
 func (r *Router) isReferable(j *job) bool {
-	return r.holderPerZone && len(j.reachableZones) > 0 && j.zone == r.Self.Zone && r.zoneOf(j.origin) == j.zone && r.balancesZones()
+	return r.holderPerZone && len(j.reachableZones) > 0 && !r.hasEarlierRuns(j) && j.zone == r.Self.Zone && r.zoneOf(j.origin) == j.zone && r.balancesZones()
 }
 
 // balancesZones reports whether jobs are referred to other zones. Referrals extend spills.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,6 +82,7 @@
 	unreported          map[string]*Progress     // progress that is not reported yet, by address of the job's host
 	crashes             crashLedger              // targets that crashed under tasks
 	orders              orderAnswers             // which orders targets answer
+	remoteRuns          remoteRuns               // runs of unstopped jobs at other holders
 	routeModels         map[string]*history      // by route
 	kindSpeeds          map[string]*KindSpeed    // by kind of target
 	meanWorkByRoute     map[string]float64       // mean work of a job, by route
@@ -137,6 +138,7 @@
 	r.openRequests = make(map[uint64]*request)
 	r.requestsByJob = make(map[string]*request)
 	r.jobs = make(map[string]*job)
+	r.remoteRuns = make(remoteRuns)
 	r.targets = make(map[string]*target)
 	r.fencings = make(map[string]fencing)
 	r.unreported = make(map[string]*Progress)
--- a/internal/router/spill.go
+++ b/internal/router/spill.go
@@ -187,7 +187,7 @@
 // "" if none has enough. The headroom that a holder reports is reduced by what is sent there until
 // its next heartbeat.
 func (r *Router) zoneWithHeadroom(j *job) string {
-	if !r.holderPerZone || !r.isEnabled(OverloadSpill) {
+	if !r.holderPerZone || !r.isEnabled(OverloadSpill) || r.hasEarlierRuns(j) {
 		return ""
 	}
 	var best *peer
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -29,6 +29,7 @@
 	used          Resources
 	// suspectCount counts the runs of tasks under which a target had crashed before.
 	suspectCount int
+	overdueStops int // runs with stopOverdue
 	// rejectedTotal is what the runs would have used with the last task that the target rejected
 	// for lack of room. Until rejectedUntil, they are not brought to as much again.
 	rejectedTotal Resources
@@ -90,6 +91,8 @@
 	// answered, after which the target starts the run no more.
 	stops            int
 	stopAcknowledged bool
+	// stopOverdue is set once a Stop was not answered in time, until one is.
+	stopOverdue bool
 	// startClock is the target's clock, in milliseconds, when the run had started; 0 if it is
 	// not known.
 	startClock int64
@@ -258,6 +261,9 @@
 func (t *target) addRun(task string, n *run) {
 	if former := t.runs[task]; former != nil {
 		former.job.liveRuns--
+		if former.stopOverdue {
+			t.overdueStops--
+		}
 	}
 	t.runs[task] = n
 	n.job.liveRuns++
@@ -277,7 +283,7 @@
 	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasEntryOfOtherProcess() {
 		return false
 	}
-	return !t.hasOrphans() && !t.answers.isOpen()
+	return !t.hasOrphans() && !t.answers.isOpen() && !r.awaitsStop(t)
 }
 
 // hasOrphans reports whether a target has runs that are not known here.
@@ -353,9 +359,7 @@
 
 func (r *Router) sendRenew(t *target, wait time.Duration, poll bool) {
 	leaseEnd := int64(0)
-	if !t.hasOrphans() && t.missedRenewals == 0 {
-		// Leases are not extended while the target has orphans, which would run on, or is
-		// unresponsive, since its tasks can start elsewhere only after the leases have expired.
+	if r.mayExtendLeases(t) {
 		leaseEnd = t.leaseEnd(r.now, r.Bounds.LeaseDuration)
 		r.extendRunExpiry(t)
 	}
@@ -482,15 +486,3 @@
 	}
 	r.emit(CloseIdle{ID: t.ID})
 }
-
-// retryStops sends a Stop order again for each run that is stopping or whose Start was not
-// answered, at most once in stopRetryInterval.
-func (r *Router) retryStops(t *target) {
-	for _, name := range sortedKeys(t.runs) {
-		n := t.runs[name]
-		if (n.state == runStopping || n.state == runUnconfirmed) && r.now.Sub(n.stopSentAt) >= stopRetryInterval {
-			n.stops = 0
-			r.stopRun(n)
-		}
-	}
-}
