router: a job that goes to another zone is withdrawn from the holder it leaves

What callers saw, in the model only: a task ran in two zones at once while zones were evacuated and a holder was slow, the world of KNOWN-RED.txt.

Cause: a host does not withdraw a job from a previous holder, so that the next holder of that zone can take over its runs. It did not either when it gave the job to another zone, or answered its client. A slow holder that has answered one copy of the offer "elsewhere" and accepts another keeps its claim, and runs the job on.

Change: the job is withdrawn from previous holders that still have the claim under which they got it, when it is offered to another zone or answered. The next offer is another submission.

Why it works: a replaced holder drops the job by itself, and any other is told now; the withdrawal follows the copies on the same link and is repeated over new ones.

--- a/internal/modeler/reset_test.go
+++ b/internal/modeler/reset_test.go
@@ -36,7 +36,7 @@
 			sim.Faults = append(sim.Faults, Fault{Kind: EvacuateZone, Selector: sim.Size.Zones[random.IntN(2)], At: at - between(0, 2*time.Second), Duration: between(time.Second, 4*time.Second)})
 		}
 		if random.IntN(3) == 0 {
-			kinds := []FaultKind{KillHost, RestartHost, SlowHost, PartitionHost, ReplaceLinks}
+			kinds := []FaultKind{KillHost, RestartHost, SlowHost, SlowHost, PauseHost, ThrottleHost, PartitionHost, CutOneWay, ReplaceLinks, MuteLinks}
 			sim.Faults = append(sim.Faults, Fault{Kind: kinds[random.IntN(len(kinds))], Selector: "holder", At: at + between(-500*time.Millisecond, time.Second), Duration: between(300*time.Millisecond, 2*time.Second)})
 		}
 	}
--- a/internal/router/drain.go
+++ b/internal/router/drain.go
@@ -37,7 +37,7 @@
 	for _, id := range sortedKeys(r.requestsByJob) {
 		q := r.requestsByJob[id]
 		v := Verdict{ID: id, Outcome: Unknown, Reason: Stopping}
-		r.sendWithdraw(q)
+		r.sendWithdraw(q.holder, q)
 		r.answerRequest(q, v)
 	}
 	r.halted = true
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -97,6 +97,9 @@
 	if q.holder != "" {
 		r.recordHolderChange(q)
 	}
+	if q.zone != zone && r.withdrawFromPrevious(q, h.Address) {
+		q.arrivedAt = q.arrivedAt.Add(time.Nanosecond) // another submission ID: the previous holders end the first
+	}
 	q.sentOffer = sentOffer{holder: h.Address, token: c.claim.Token, firstSentAt: r.now}
 	q.zone, q.lostZones = zone, nil
 	r.emit(Decision{Action: "offer", Job: q.job.ID, Routine: true, Pairs: []any{
@@ -229,7 +232,7 @@
 	if q.holder == "" && len(q.previousZones) == 0 {
 		v.Outcome, v.RetryAfter = Refused, noHolderRetryAfter
 	}
-	r.sendWithdraw(q)
+	r.sendWithdraw(q.holder, q)
 	r.answerRequest(q, v)
 }
 
@@ -314,6 +317,7 @@
 // answerRequest ends a request and answers all its clients.
 func (r *Router) answerRequest(q *request, v Verdict) {
 	delete(r.requestsByJob, q.job.ID)
+	r.withdrawFromPrevious(q, q.holder)
 	r.emit(Decision{Action: "answer", Job: q.job.ID, Routine: v.Outcome == Complete, Pairs: []any{
 		"outcome", v.Outcome, "reason", v.Reason, "route", q.job.Route, "spent", r.now.Sub(q.arrivedAt).Round(time.Millisecond).String(),
 		"left", q.deadline.Sub(r.now).Round(time.Millisecond).String(), "after", v.RetryAfter.String(), "holders", len(q.previousZones), "holder", q.holder, "token", q.token,
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -16,12 +16,40 @@
 const maxWithdrawals = 1000
 
 // withdrawJob withdraws a request's job from its holder, if there is one.
-func (r *Router) withdrawJob(q *request) {
-	if q.holder == r.Self.Address {
+func (r *Router) withdrawJob(q *request) { r.withdrawFrom(q.holder, q) }
+
+// withdrawFrom withdraws a request's job from the host at an address, which may be this host.
+func (r *Router) withdrawFrom(address string, q *request) {
+	if address == r.Self.Address {
 		r.handleWithdraw(nil, q.newWithdraw())
 		return
 	}
-	r.sendWithdraw(q)
+	r.sendWithdraw(address, q)
+}
+
+// withdrawFromPrevious withdraws a request's job from its previous holders, except one at an address, as far as
+// they have not been replaced: a replaced holder drops the job when it receives the new claim, and the
+// next holder of its zone takes over the runs or stops them. It reports whether there was one.
+func (r *Router) withdrawFromPrevious(q *request, except string) bool {
+	withdrawn := false
+	for i, o := range q.unresolvedOffers {
+		if o.holder != except && r.isClaimCurrent(&o) {
+			r.withdrawFrom(o.holder, q)
+			q.unresolvedOffers[i], withdrawn = sentOffer{}, true
+		}
+	}
+	return withdrawn
+}
+
+// isClaimCurrent reports whether the holder of an offer still has the claim under which it got the offer, as
+// far as is known.
+func (r *Router) isClaimCurrent(o *sentOffer) bool {
+	for _, c := range r.cells {
+		if o.holder != "" && c.claim.Holder.Address == o.holder && c.claim.Token == o.token {
+			return true
+		}
+	}
+	return false
 }
 
 // newWithdraw creates the withdrawal of a request.
@@ -29,10 +57,10 @@
 	return &Withdraw{ID: q.job.ID, SubmissionID: q.arrivedAt.UnixNano()}
 }
 
-// sendWithdraw withdraws a request's job from its holder if that is another host. The withdrawal is
-// repeated over new links until the holder has ended the job.
-func (r *Router) sendWithdraw(q *request) {
-	p := r.peers[q.holder]
+// sendWithdraw withdraws a request's job from the host at an address if that is another host. The
+// withdrawal is repeated over new links until that host has ended the job.
+func (r *Router) sendWithdraw(address string, q *request) {
+	p := r.peers[address]
 	if p == nil {
 		return
 	}
