router: a run that another holder reports ends with the longest lease

What callers lacked: a job that a host had named as unstopped with an odd time left would have waited for that time, up to nine years, once the host had gone.

Cause: only a later heartbeat of the same host took a job off the list before its time.

Measured: TestReportedRunEndsWithLongestLease fails without the bound; go test ./internal/router passes.

--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -310,10 +310,14 @@
 	return t.lastReading.Millis + (now.Sub(t.lastReading.At) + lease).Milliseconds()
 }
 
-// extendRunExpiry records that an order extends the leases of a target's runs, by a lease with
-// the greatest clock drift and leaseExpiryMargin.
+// longestLease returns the duration of a lease with the greatest clock drift and leaseExpiryMargin.
+func (r *Router) longestLease() time.Duration {
+	return r.Bounds.LeaseDuration + time.Duration(float64(r.Bounds.LeaseDuration)*r.Bounds.MaxClockDrift) + leaseExpiryMargin
+}
+
+// extendRunExpiry records that an order extends the leases of a target's runs by longestLease.
 func (r *Router) extendRunExpiry(t *target) {
-	end := r.now.Add(r.Bounds.LeaseDuration + time.Duration(float64(r.Bounds.LeaseDuration)*r.Bounds.MaxClockDrift) + leaseExpiryMargin)
+	end := r.now.Add(r.longestLease())
 	if end.After(t.runsExpireAt) {
 		t.runsExpireAt = end
 	}
--- a/internal/router/unstopped.go
+++ b/internal/router/unstopped.go
@@ -102,8 +102,9 @@
 // address of the holder.
 type remoteRuns map[string]map[string]time.Time
 
-// update replaces the jobs of a holder. It reports whether a job has none left because of that.
-func (m remoteRuns) update(now time.Time, holder string, jobs []UnstoppedJob) (released bool) {
+// update replaces the jobs of a holder, whose runs end after the longest lease at the latest. It reports
+// whether a job has no runs left because of that.
+func (m remoteRuns) update(now time.Time, holder string, jobs []UnstoppedJob, longestLease time.Duration) (released bool) {
 	before := len(m)
 	m.deleteFunc(func(address string, _ time.Time) bool { return address == holder })
 	released = len(m) < before
@@ -111,7 +112,7 @@
 		if m[u.ID] == nil {
 			m[u.ID] = make(map[string]time.Time)
 		}
-		m[u.ID][holder] = now.Add(u.Left)
+		m[u.ID][holder] = now.Add(min(u.Left, longestLease))
 	}
 	return released
 }
--- a/internal/router/unstopped_test.go
+++ b/internal/router/unstopped_test.go
@@ -158,6 +158,15 @@
 	assert.False(t, b.router.remoteRuns.until("j").IsZero())
 }
 
+// TestReportedRunEndsWithLongestLease guards against a job that waits for good because its ID was in the last
+// heartbeat of a host that has gone.
+func TestReportedRunEndsWithLongestLease(t *testing.T) {
+	b, remote := newNeighbourBed(t)
+	b.reportUnstopped(remote, UnstoppedJob{ID: "j", Left: 24 * time.Hour})
+	b.advance(b.router.longestLease() + b.router.Bounds.TickInterval)
+	assert.Empty(t, b.router.remoteRuns)
+}
+
 // TestOddUnstoppedJobIsNotAdopted guards against jobs that no holder can report.
 func TestOddUnstoppedJobIsNotAdopted(t *testing.T) {
 	for _, odd := range [][]UnstoppedJob{{{ID: ""}}, {{ID: "j", Left: -1}}, {{ID: "j", Left: math.MaxInt64}}, make([]UnstoppedJob, maxUnstopped+1)} {
