--- a/internal/modeler/reset_test.go
+++ b/internal/modeler/reset_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
 )
 
 // randomResetSimulation draws a small deployment with a holder for each zone whose tasks run for a second
@@ -49,3 +51,14 @@
 	t.Parallel()
 	checkSimulations(t, *simulationCount, randomResetSimulation)
 }
+
+// TestRunInOtherZoneRegressionSeeds repeats the simulations of TestResentJobWaitsForRunInOtherZone in which a
+// task ran in two zones at once.
+func TestRunInOtherZoneRegressionSeeds(t *testing.T) {
+	t.Parallel()
+	for _, seed := range []uint64{31, 33, 42, 45, 102} {
+		sim := randomResetSimulation(seed)
+		sim.Run()
+		assert.Empty(t, sim.Violations, "seed %d", seed)
+	}
+}
