--- a/review/_standin3/executor.go
+++ b/review/_standin3/executor.go
@@ -30,6 +30,8 @@
 	count   int
 	listed  chan struct{} // closed when an end is listed
 	used    int
+	// lateStops is how much later than they arrive stops are carried out, without an answer; zero for none.
+	lateStops time.Duration
 }
 
 type taskRun struct {
@@ -116,6 +118,11 @@
 			return
 		}
 		e.mutex.Lock()
+		if e.isCutFrom(o.Token) {
+			e.mutex.Unlock()
+			<-r.Context().Done() // neither the order nor an answer passes the border of the zone
+			return
+		}
 		defer e.mutex.Unlock()
 		if o.Token < e.token {
 			e.reply(w, http.StatusConflict, "fence")
@@ -126,6 +133,16 @@
 	}
 }
 
+// isCutFrom reports whether the zone of the executor is cut off from the daemon with a token. The daemons of
+// the zone that is cut off have higher tokens than those that the executors have seen before, since they take
+// the zone's executors over; only they reach them, and they reach no others. A
+// call without a token changes nothing.
+func (e *executor) isCutFrom(token uint64) bool {
+	e.site.mutex.Lock()
+	defer e.site.mutex.Unlock()
+	return e.site.cutZone == e.zone && token > 0 && token <= e.site.cutToken
+}
+
 func (e *executor) reply(w http.ResponseWriter, status int, reason string) {
 	body := map[string]any{"clockMs": e.clock(), "born": e.born.UnixMilli()}
 	if reason != "" {
@@ -142,7 +159,7 @@
 		e.reply(w, http.StatusBadRequest, "")
 		return
 	}
-	need := e.site.needOf(o.Task)
+	e.site.countOrder(false)
 	switch n := e.runs[o.Task]; {
 	case n != nil && n.number == o.Run:
 		e.extend(o.Deadline)
@@ -155,21 +172,21 @@
 	case o.Deadline <= e.clock():
 		e.reply(w, http.StatusConflict, "late")
 		return
-	case e.guards && e.used+need > e.cpu:
+	case e.guards && e.used+taskCPU > e.cpu:
 		e.extend(o.Deadline)
 		e.reply(w, http.StatusConflict, "room")
 		return
 	}
 	e.extend(o.Deadline)
-	n := &taskRun{number: o.Run, cpu: need, started: time.Now(), length: length}
+	n := &taskRun{number: o.Run, cpu: taskCPU, started: time.Now(), length: length}
 	e.runs[o.Task] = n
-	e.used += need
+	e.used += taskCPU
 	e.site.record("executor %s starts task %s run %d token %d", e.id, o.Task, o.Run, o.Token)
 	e.site.noteStart(e, o.Task, o.Run)
 	time.AfterFunc(length, func() {
 		e.mutex.Lock()
 		defer e.mutex.Unlock()
-		e.end(o.Task, n, e.site.outcomeOf(o.Task, n.number))
+		e.end(o.Task, n, "done")
 	})
 	e.reply(w, http.StatusOK, "")
 }
@@ -191,7 +208,28 @@
 	e.site.noteEnd(e, task, n.number, how)
 }
 
-func (e *executor) stop(w http.ResponseWriter, _ *http.Request, o order) {
+func (e *executor) stop(w http.ResponseWriter, r *http.Request, o order) {
+	e.site.countOrder(e.lateStops > 0)
+	if late := e.lateStops; late > 0 {
+		e.site.record("executor %s leaves a stop of task %s run %d unanswered", e.id, o.Task, o.Run)
+		time.AfterFunc(late, func() {
+			e.mutex.Lock()
+			defer e.mutex.Unlock()
+			if o.Token >= e.token {
+				e.carryOutStop(o)
+			}
+		})
+		e.mutex.Unlock()
+		<-r.Context().Done()
+		e.mutex.Lock()
+		return
+	}
+	e.carryOutStop(o)
+	e.reply(w, http.StatusOK, "")
+}
+
+// carryOutStop stops a run, or keeps it from starting. The mutex must be held.
+func (e *executor) carryOutStop(o order) {
 	e.highest[o.Task] = max(e.highest[o.Task], o.Run)
 	if n := e.runs[o.Task]; n != nil && n.number <= o.Run {
 		time.AfterFunc(stopTime, func() {
@@ -200,7 +238,6 @@
 			e.end(o.Task, n, "stopped")
 		})
 	}
-	e.reply(w, http.StatusOK, "")
 }
 
 func (e *executor) hold(w http.ResponseWriter, r *http.Request, o order) {
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -17,9 +17,9 @@
 )
 
 var cases = map[string]func(*site, bool) []string{
-	"late-copy":      lateCopy,
-	"cancel-by-hash": cancelByHash,
-	"second-term":    secondTerm,
+	"late-copy":   lateCopy,
+	"second-term": secondTerm,
+	"unstopped":   unstopped,
 }
 
 // runLimit bounds a case.
