--- a/review/_standin3/unstopped.go
+++ b/review/standin3/unstopped.go
@@ -21,77 +21,106 @@
 	lateFor = 1700 * time.Millisecond
 	// cutFor is how long the zone is cut off; the site file has 5.5 s.
 	cutFor = 5500 * time.Millisecond
+	// takeoverTime is how long after the cut a daemon of the zone has its executors for certain.
+	takeoverTime = 1800 * time.Millisecond
+	// longTask is the time of the task, and longBudget the client's time budget.
+	longTask   = 3500 * time.Millisecond
+	longBudget = 9 * time.Second
 )
 
 // unstopped: while a zone is cut off, the connection of one of its clients is reset, and the executor of its
 // job leaves the stop unanswered. The client sends the job again, to a daemon of another zone. The task must
 // not run in both zones.
 func unstopped(s *site, trouble bool) []string {
-	zones := []string{"guj-west-a", "guj-west-b", "guj-west-c"}
-	const length, budget = 3500 * time.Millisecond, 9 * time.Second
 	s.gated = true
 	cut, late := trouble && os.Getenv("ONLY") != "late", trouble && os.Getenv("ONLY") != "cut"
+	zones := []string{"guj-west-a", "guj-west-b", "guj-west-c"}
 	s.start(6, 48, zones...)
 	other := s.holder().zone // keeps the executors of the other zones
 	zone := zones[2]
 	if zone == other {
 		zone = zones[0]
 	}
-	stop := make(chan struct{})
-	var clients sync.WaitGroup
-	for _, z := range zones {
-		clients.Add(1)
-		go func() {
-			defer clients.Done()
-			s.usualLoad(z, stop)
-		}()
-	}
+	stopLoad := s.startUsualLoad(zones)
 	time.Sleep(contactTime)
 	began := time.Now()
 	if cut {
 		s.cut(zone)
 	}
-	time.Sleep(time.Until(began.Add(1800 * time.Millisecond))) // a daemon of the zone has its executors now
+	time.Sleep(time.Until(began.Add(takeoverTime)))
 	ctx, reset := context.WithCancel(context.Background())
-	answered := make(chan reply, 1)
-	var id string
-	var e *executor
-	for try := 0; e == nil; try++ {
-		if try == 5 {
-			cannotRun("no job runs in the zone that is cut off")
-		}
-		id = fmt.Sprintf("5c0e7a21d94b36f%d", try)
-		go func() {
-			answered <- s.callContext(ctx, s.route("client-1", zone), http.MethodPost, id, jobBody(1, length), budget)
-		}()
-		for waiting := true; waiting && e == nil; e = s.runnerOf(id) {
-			select {
-			case <-answered: // refused
-				waiting = false
-			case <-time.After(20 * time.Millisecond):
-			}
-		}
-	}
-	time.Sleep(200 * time.Millisecond)
-	s.mutex.Lock()
-	s.orders, s.late = 0, 0
-	s.mutex.Unlock()
+	first := s.submitUntilRun(ctx, zone)
+	s.countOrders()
 	if late {
-		e.setLateStops(stopDelay)
+		first.executor.setLateStops(stopDelay)
 	}
 	s.record("the client's connection is reset")
 	reset()
-	if r := <-answered; !errors.Is(r.err, context.Canceled) {
+	if r := <-first.answer; !errors.Is(r.err, context.Canceled) {
 		cannotRun("the submission was answered %s before its connection was reset", r)
 	}
 	lost := time.Now()
 	time.Sleep(retransmit)
 	again := make(chan reply, 1)
 	go func() {
-		again <- s.call(s.route("client-1", other), http.MethodPost, id, jobBody(1, length), budget-time.Since(began))
+		again <- s.call(s.route("client-1", other), http.MethodPost, first.id, jobBody(1, longTask), longBudget-time.Since(began))
 	}()
 	time.Sleep(time.Until(lost.Add(lateFor)))
-	e.setLateStops(0)
+	first.executor.setLateStops(0)
+	s.checkLateShare()
+	if cut {
+		time.Sleep(time.Until(began.Add(cutFor)))
+		s.heal()
+	}
+	<-again
+	time.Sleep(time.Second)
+	stopLoad()
+	return s.twice()
+}
+
+// submission is a job of client-1 that runs, its executor, and the answer to come.
+type submission struct {
+	id       string
+	executor *executor
+	answer   chan reply
+}
+
+// maxSubmissions bounds the jobs that are submitted until one runs.
+const maxSubmissions = 5
+
+// submitUntilRun submits jobs of one long task in a zone until one is not refused, and waits until it has run
+// for a moment.
+func (s *site) submitUntilRun(ctx context.Context, zone string) submission {
+	for i := range maxSubmissions {
+		q := submission{id: fmt.Sprintf("5c0e7a21d94b36f%d", i), answer: make(chan reply, 1)}
+		go func() {
+			q.answer <- s.callContext(ctx, s.route("client-1", zone), http.MethodPost, q.id, jobBody(1, longTask), longBudget)
+		}()
+		for refused := false; !refused; {
+			select {
+			case <-q.answer:
+				refused = true
+			case <-time.After(20 * time.Millisecond):
+			}
+			if q.executor = s.runnerOf(q.id); q.executor != nil {
+				time.Sleep(200 * time.Millisecond)
+				return q
+			}
+		}
+	}
+	cannotRun("no job runs in the zone %s", zone)
+	return submission{}
+}
+
+// countOrders begins to count starts and stops.
+func (s *site) countOrders() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.orders, s.late = 0, 0
+}
+
+// checkLateShare ends the case if more orders were carried out late than the pages allow.
+func (s *site) checkLateShare() {
 	s.mutex.Lock()
 	share := float64(s.late) / float64(max(s.orders, 1))
 	s.mutex.Unlock()
@@ -99,15 +128,23 @@
 	if share > lateShare {
 		cannotRun("the share of late orders is %.4f", share)
 	}
-	if cut {
-		time.Sleep(time.Until(began.Add(cutFor)))
-		s.heal()
+}
+
+// startUsualLoad starts the usual load of zones. The returned function ends it.
+func (s *site) startUsualLoad(zones []string) func() {
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	for _, zone := range zones {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			s.usualLoad(zone, stop)
+		}()
+	}
+	return func() {
+		close(stop)
+		clients.Wait()
 	}
-	<-again
-	time.Sleep(time.Second)
-	close(stop)
-	clients.Wait()
-	return s.twice()
 }
 
 // usualLoad submits jobs for the clients of a zone at about the site's rate and mix: 47 a second, a quarter of
