router: a run that obeys no Stop ends with its lease at any size

The client sends the job again 1.3 s later, to the other side of the cut, which starts it.

Below that, one host holds all zones and knows of all runs, but only until a cut gives the zone that it separates a second holder.

Evidence: the log of the cut zone's holder, with the code as found: the verdict "withdrawn" at 49.444, "unstopped ... extended true lapses 1.01s" at 49.545; the other side's holder places the job at 50.745; the first run ends at 51.176, 1.73 s after its job.

Change: the guard no longer depends on the number of targets. A holder cannot know whether another host holds a zone that the network separates from it. Why it works: without an extension the run ends 1.17 s after its first Stop at the latest, and the client comes again after 1.3 s.

Simulation.ResendAnywhere is new in the model, because clients of model worlds came back to hosts of their own zone.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -145,15 +145,17 @@
 }
 
 // send submits the job to a random host of the client's zone that is up and not leaving, or
-// of the first other zone that has such a host. If no zone has one, it schedules a resend. It
+// of the first other zone that has such a host. With ResendAnywhere, a job that may have run
+// goes to a random host of any zone instead. If no zone has a host, it schedules a resend. It
 // records a violation if there is no answer within a second after the client's timeout,
 // although the host is up and was not paused in the meantime.
 func (c *client) send() {
 	sim := c.sim
 	var hosts []*host
+	anywhere := c.mayHaveRun && sim.ResendAnywhere
 	for _, zone := range append([]string{c.zone}, sim.Size.Zones...) {
 		for _, h := range sim.hosts {
-			if h.up && h.zone == zone && !h.leaving {
+			if h.up && (h.zone == zone || anywhere) && !h.leaving {
 				hosts = append(hosts, h)
 			}
 		}
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -85,6 +85,8 @@
 	// Patience is how long after its timeout a client goes on to resend a job whose outcome is
 	// unknown or that has expired.
 	Patience time.Duration
+	// ResendAnywhere makes clients resend a job that may have run to a random host of any zone.
+	ResendAnywhere bool
 
 	// Trace is called for each decision with the time since the start of the load and
 	// the host's name. It may be nil.
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -167,7 +167,7 @@
 		return Unresponsive
 	case r.now.Before(t.ejectedUntil):
 		return Ejected
-	case t.answers.isOpen() || r.awaitsStop(t):
+	case t.answers.isOpen() || t.awaitsStop():
 		return Unheard
 	case t.onTrial:
 		return OnTrial
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -283,7 +283,7 @@
 	if t.onTrial && len(t.runs) > 0 || r.isExcludedAsCold(t) || t.hasEntryOfOtherProcess() {
 		return false
 	}
-	return !t.hasOrphans() && !t.answers.isOpen() && !r.awaitsStop(t)
+	return !t.hasOrphans() && !t.answers.isOpen() && !t.awaitsStop()
 }
 
 // hasOrphans reports whether a target has runs that are not known here.
@@ -363,7 +363,7 @@
 
 func (r *Router) sendRenew(t *target, wait time.Duration, poll bool) {
 	leaseEnd := int64(0)
-	if r.mayExtendLeases(t) {
+	if t.mayExtendLeases() {
 		leaseEnd = t.leaseEnd(r.now, r.Bounds.LeaseDuration)
 		r.extendRunExpiry(t)
 	}
--- a/internal/router/unstopped.go
+++ b/internal/router/unstopped.go
@@ -45,7 +45,7 @@
 	}
 	n.target.overdueStops++
 	r.emit(Decision{Action: "unstopped", Job: n.job.spec.ID, Task: taskName(n.job.spec.ID, n.task), Target: n.target.ID, Pairs: []any{
-		"run", n.number, "state", n.state, "ended", n.job.ended, "extended", r.mayExtendLeases(n.target), "lapses", n.target.runsExpireAt.Sub(r.now).String(),
+		"run", n.number, "state", n.state, "ended", n.job.ended, "extended", n.target.mayExtendLeases(), "lapses", n.target.runsExpireAt.Sub(r.now).String(),
 	}})
 }
 
@@ -61,24 +61,21 @@
 	}
 }
 
-// awaitsStop reports whether a run at a target does not obey Stop orders while its task might be started by
-// the holder of another zone. The leases there are not extended then, so that the run ends before its client
-// submits the job again.
-func (r *Router) awaitsStop(t *target) bool { return t.overdueStops > 0 && r.holderPerZone }
+// awaitsStop reports whether a run at a target does not obey Stop orders. The leases there are not extended
+// then, so that the run ends before its client submits the job again. This does not depend on who holds the other
+// zones now: a host that the network separates from this one may become their holder, and knows nothing of the run.
+func (t *target) awaitsStop() bool { return t.overdueStops > 0 }
 
 // mayExtendLeases reports whether orders extend the leases of a target's runs. They do not while the target
 // has orphans, which would run on, while it is unresponsive, since its tasks can start elsewhere only after
 // the leases have expired, or while it does not answer a Stop.
-func (r *Router) mayExtendLeases(t *target) bool {
-	return !t.hasOrphans() && t.missedRenewals == 0 && !r.awaitsStop(t)
+func (t *target) mayExtendLeases() bool {
+	return !t.hasOrphans() && t.missedRenewals == 0 && !t.awaitsStop()
 }
 
 // unstoppedJobs returns the ended jobs with runs that do not obey Stop orders, those that last longest
 // first.
 func (r *Router) unstoppedJobs() []UnstoppedJob {
-	if !r.holderPerZone {
-		return nil
-	}
 	left := make(map[string]time.Duration)
 	for _, j := range r.unreducedJobs {
 		for i := range j.tasks {
--- a/internal/router/unstopped_test.go
+++ b/internal/router/unstopped_test.go
@@ -71,14 +71,27 @@
 	assert.Equal(t, Usable, b.router.targetStatus(target), "the target has received a Stop, whatever became of the other")
 }
 
-// TestOneHolderExtendsLeasesDespiteUnansweredStop guards against the loss of other runs of a target where one
-// host holds all zones: it knows of the run when the client submits the job again.
-func TestOneHolderExtendsLeasesDespiteUnansweredStop(t *testing.T) {
+// TestOneHolderLetsUnstoppedRunEnd guards against a run that goes on at a target which leaves Stop orders unanswered,
+// where one host holds all zones: a zone that is cut off has another holder, which does not know of the run when
+// the client submits the job again.
+func TestOneHolderLetsUnstoppedRunEnd(t *testing.T) {
 	b, start, _ := newUnstoppedRun(t)
-	b.router.holderPerZone = false
 	b.router.totalTargets = 1
-	assert.NotContains(t, b.leaseEnds(start), int64(0))
-	assert.Empty(t, b.router.newHeartbeat().Unstopped)
+	b.router.updateHolderPerZone()
+	require.False(t, b.router.holderPerZone)
+	target := b.router.targets[start.Target.ID]
+	lapsesAt := target.runsExpireAt
+	for _, end := range b.leaseEnds(start) {
+		assert.Zero(t, end)
+	}
+	assert.Equal(t, lapsesAt, target.runsExpireAt)
+	assert.Equal(t, Unheard, b.router.targetStatus(target))
+	unstopped := b.router.newHeartbeat().Unstopped
+	require.Len(t, unstopped, 1)
+	assert.Equal(t, "j", unstopped[0].ID)
+	polls := effectsOf[Renew](b.step(StopAnswered{Target: start.Target.ID, Task: start.Task, Run: start.Run, Acknowledged: true}))
+	require.Len(t, polls, 1)
+	assert.NotZero(t, polls[0].LeaseEnd, "the other runs of the target go on")
 }
 
 // TestHolderReportsUnstoppedRuns guards against other holders that do not learn of a run which outlives its
