router: no run outlasts the time after which clients come again

Callers saw a task run in two availability zones at once for 0.42 to 0.51 s: a zone is cut off, the client's host there is killed, and the job's target leaves Stop orders unanswered.

Cause: how long a run lasted after its host was lost was a sum of timeouts that nobody compared with the time after which clients come again: 0.5 s until the host counts as lost, 0.1 s until the first Stop counts as unanswered, and up to 1.07 s of the lease that was extended until then, against 1.3 s.

Change: Bounds.RetryDelay (setting `retry` in [node], 1.3 s) states that time. A lease that a holder gives at a target ends within RetryDelay after the last contact with the host of each job that has a run there: the time of the last heartbeat that the host has echoed, or the end of the job. While hosts answer, leases are full. The answer to a renewal waits less if the lease is shorter, so that the next one comes as long before its end as before. Settings with which no run can be stopped in time are refused.

Why it works: the holder needs to know neither that the host is lost nor that the target does not obey; without contact, the lease that the target has is short enough.

--- a/internal/loader/node.go
+++ b/internal/loader/node.go
@@ -102,6 +102,7 @@
 	if v.BindAddress == "" {
 		v.BindAddress = v.LinkAddress
 	}
+	v.Bounds.RetryDelay = s.Duration("retry", v.Bounds.RetryDelay, 10*time.Millisecond, time.Hour)
 	v.Bounds.ShutdownTimeout = s.Duration("grace", v.Bounds.ShutdownTimeout, time.Second, time.Hour)
 	v.Bounds.ShutdownLinger = s.Duration("linger", v.Bounds.ShutdownLinger, 0, time.Hour)
 }
@@ -146,6 +147,12 @@
 	if b.OriginTimeout < b.PeerTimeout {
 		doc.AddFault("members", "trust", "shorter than silence", "raise trust or lower silence")
 	}
+	if b.RetryDelay <= b.OriginTimeout+b.OrderTimeout+b.StopDuration {
+		doc.AddFault("node", "retry", "too short to stop a run after members.trust", "lower trust, or raise retry if clients wait longer")
+	}
+	if b.LeaseDuration+b.OrderTimeout > b.RetryDelay {
+		doc.AddFault("targets", "lease", "too long for a run to end before node.retry", "lower lease, or raise retry if clients wait longer")
+	}
 	b.QuarantineDuration = b.OriginTimeout + b.LeaseDuration + 3*b.StopDuration
 }
 
--- a/internal/loader/node_test.go
+++ b/internal/loader/node_test.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 clients = 127.0.0.1:1
 probe = 127.0.0.1:2
 links = 127.0.0.1:3
+retry = 3s
 
 [store]
 address = 127.0.0.1:4
@@ -34,7 +36,7 @@
 		settings[s.Section+"."+s.Key] = s
 	}
 	assert.Equal(t, "2s", settings["targets.lease"].Value)
-	assert.Equal(t, "line 12", settings["targets.lease"].Origin())
+	assert.Equal(t, "line 13", settings["targets.lease"].Origin())
 	assert.Equal(t, "80ms", settings["members.beat"].Value)
 	assert.Equal(t, "default", settings["members.beat"].Origin())
 	assert.Equal(t, "1", settings["node.power"].Value)
@@ -54,3 +56,24 @@
 		"node zone", "node clients", "node probe", "node power", "store address", "members silence", "targets lease", "targets leese",
 	}, faults.Keys())
 }
+
+// TestTimeoutsMustEndRunsBeforeRetry guards against settings with which a run outlives the time after which clients
+// submit their jobs again.
+func TestTimeoutsMustEndRunsBeforeRetry(t *testing.T) {
+	for settings, key := range map[string]string{
+		"[members]\ntrust = 1200ms\n": "node retry",
+		"[targets]\nstop = 1s\n":      "node retry",
+		"[targets]\nlease = 1300ms\n": "targets lease",
+		"":                            "",
+	} {
+		text := strings.NewReplacer("retry = 3s\n", "", "[targets]\nlease = 2s\n", settings).Replace(nodeText)
+		_, err := ParseNode("n.ini", text)
+		if key == "" {
+			require.NoError(t, err)
+			continue
+		}
+		var faults parser.Faults
+		require.ErrorAs(t, err, &faults, settings)
+		assert.Equal(t, []string{key}, faults.Keys(), settings)
+	}
+}
--- a/internal/router/bounds.go
+++ b/internal/router/bounds.go
@@ -22,10 +22,14 @@
 	// unreachable. It covers a scheduling pause of a host with a small processor share
 	// (100 ms) and the retransmission of a lost packet (200 ms).
 	PeerTimeout time.Duration
-	// OriginTimeout is how long a holder continues the jobs of an unresponsive host.
-	// Together with StopDuration it must end before the client retries the job (after
-	// 1.3 s on the platform).
+	// OriginTimeout is how long a holder continues the jobs of an unresponsive host. It
+	// must be shorter than RetryDelay, so that runs can be stopped before clients retry.
 	OriginTimeout time.Duration
+	// RetryDelay is the time after which a client whose connection has broken submits its
+	// job again, to any host. No run goes on for longer after its job's host was last heard
+	// or its job has ended, whether or not its target obeys Stop orders. The platform
+	// states it.
+	RetryDelay time.Duration
 	// StartupDelay is how long a starting host waits for messages of existing holders
 	// before it claims a cell. It covers setting up a connection and two heartbeats.
 	StartupDelay time.Duration
@@ -109,6 +113,7 @@
 		FullMeshHosts:      12,
 		PeerTimeout:        400 * time.Millisecond,
 		OriginTimeout:      500 * time.Millisecond,
+		RetryDelay:         1300 * time.Millisecond,
 		StartupDelay:       400 * time.Millisecond,
 		ClaimStagger:       200 * time.Millisecond,
 		MergeDelay:         320 * time.Millisecond,
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -35,6 +35,8 @@
 	// ended is set once the verdict is given.
 	ended   bool
 	verdict Verdict
+	// lastContactAt is set when the job ends; see Router.lastContact.
+	lastContactAt time.Time
 	// retainedUntil is until when the ended job is known here; see retainJob.
 	retainedUntil time.Time
 
@@ -159,7 +161,7 @@
 // a copy of its offer may still arrive over a connection that was replaced.
 func (r *Router) refuseJob(j *job, v Verdict) {
 	v.SubmissionID, v.Token = j.submissionID, j.token
-	j.ended, j.verdict = true, v
+	r.closeJob(j, v)
 	r.openFootprint += j.footprint(len(j.tasks))
 	r.jobs[j.spec.ID] = j
 	r.retainJob(j)
@@ -309,7 +311,7 @@
 	if v.Outcome == Complete && j.doneCount != len(j.tasks) {
 		r.reportViolation("complete or failed", "job %s would be complete with %d of %d tasks done", j.spec.ID, j.doneCount, len(j.tasks))
 	}
-	j.ended, j.verdict = true, v
+	r.closeJob(j, v)
 	r.queue.Remove(j)
 	if !j.firstStartAt.IsZero() {
 		r.emitStageDuration(j, Ended, j.firstStartAt)
@@ -321,6 +323,12 @@
 	r.sendVerdict(j.origin, v)
 }
 
+// closeJob records the verdict of a job.
+func (r *Router) closeJob(j *job, v Verdict) {
+	j.lastContactAt = r.lastContact(j)
+	j.ended, j.verdict = true, v
+}
+
 // stopRuns stops all runs of a job that are running or unconfirmed.
 func (r *Router) stopRuns(j *job) {
 	for i := range j.tasks {
@@ -367,7 +375,7 @@
 		if j.ended || j.zone != zone {
 			continue
 		}
-		j.ended, j.verdict = true, Verdict{ID: id, Outcome: WrongHolder}
+		r.closeJob(j, Verdict{ID: id, Outcome: WrongHolder})
 		r.queue.Remove(j)
 		r.stopRuns(j)
 		r.retainJob(j)
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -226,7 +226,7 @@
 		p.heartbeatsRequestedAt = r.now
 	}
 	r.updateMonitored(p)
-	if heartbeat.Sent >= p.lastPeerTimestamp && r.remoteRuns.update(r.now, p.member.Address, heartbeat.Unstopped, r.longestLease()) {
+	if heartbeat.Sent >= p.lastPeerTimestamp && r.remoteRuns.update(r.now, p.member.Address, heartbeat.Unstopped, r.longestLease(r.Bounds.LeaseDuration)) {
 		r.placementNeeded = true
 	}
 	p.lastPeerTimestamp = max(p.lastPeerTimestamp, heartbeat.Sent)
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -330,9 +330,8 @@
 // sendStart sends the Start order of a run.
 func (r *Router) sendStart(n *run) {
 	t := n.target
-	r.extendRunExpiry(t)
 	r.startRate.add(r.now)
-	leaseEnd, timeout := t.leaseEnd(r.now, r.Bounds.LeaseDuration), r.startTimeout(n)
+	leaseEnd, timeout := r.extendLeases(t, max(r.leaseDuration(t), 0)), r.startTimeout(n)
 	n.recordAttempt(r.now, leaseEnd)
 	r.emit(Start{
 		Target: t.Target, Process: Process{StartedAt: t.listedProcess, ConfirmedAt: t.lastConfirmedAt}, Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -310,17 +310,17 @@
 	return t.lastReading.Millis + (now.Sub(t.lastReading.At) + lease).Milliseconds()
 }
 
-// longestLease returns the duration of a lease with the greatest clock drift and leaseExpiryMargin.
-func (r *Router) longestLease() time.Duration {
-	return r.Bounds.LeaseDuration + time.Duration(float64(r.Bounds.LeaseDuration)*r.Bounds.MaxClockDrift) + leaseExpiryMargin
+// longestLease returns how long a lease may last by this host's clock: with the greatest clock drift and
+// leaseExpiryMargin.
+func (r *Router) longestLease(lease time.Duration) time.Duration {
+	return lease + time.Duration(float64(lease)*r.Bounds.MaxClockDrift) + leaseExpiryMargin
 }
 
-// extendRunExpiry records that an order extends the leases of a target's runs by longestLease.
-func (r *Router) extendRunExpiry(t *target) {
-	end := r.now.Add(r.longestLease())
-	if end.After(t.runsExpireAt) {
-		t.runsExpireAt = end
-	}
+// extendLeases records that an order extends the leases of a target's runs, and returns the lease end for the
+// order; see target.leaseEnd.
+func (r *Router) extendLeases(t *target, lease time.Duration) int64 {
+	t.runsExpireAt = later(t.runsExpireAt, r.now.Add(r.longestLease(lease)))
+	return t.leaseEnd(r.now, lease)
 }
 
 // updateClock stores a reading of the target's clock if it is newer than the last one.
@@ -337,7 +337,7 @@
 	if t.renewing || r.now.Before(t.nextRenewalAt) {
 		return
 	}
-	wait := r.Bounds.RenewWait
+	wait := r.renewWait(t)
 	if !t.fenced || t.missedRenewals > 0 || t.unansweredRenewals > 0 || len(t.runs) == 0 {
 		wait = 0
 	}
@@ -348,6 +348,12 @@
 	r.sendRenew(t, wait, false)
 }
 
+// renewWait returns how long the answer to a renewal may wait for the end of a run. The next renewal
+// follows after it, so that it is shorter if the lease is.
+func (r *Router) renewWait(t *target) time.Duration {
+	return max(r.Bounds.RenewWait-(r.Bounds.LeaseDuration-r.leaseDuration(t)), 0)
+}
+
 // pollTarget polls a target: it requests the run list at once, by a Renew order with Poll set
 // and no wait. If a poll was sent less than minPollInterval ago and is not answered yet, the
 // next one follows after that time, because the answer may be lost.
@@ -363,9 +369,8 @@
 
 func (r *Router) sendRenew(t *target, wait time.Duration, poll bool) {
 	leaseEnd := int64(0)
-	if t.mayExtendLeases() {
-		leaseEnd = t.leaseEnd(r.now, r.Bounds.LeaseDuration)
-		r.extendRunExpiry(t)
+	if lease := r.leaseDuration(t); lease > 0 && t.mayExtendLeases() {
+		leaseEnd = r.extendLeases(t, lease)
 	}
 	r.emit(Renew{
 		Target: t.Target, Token: t.token, Acked: t.lastAckedEnd, LeaseEnd: leaseEnd,
--- a/internal/router/unstopped.go
+++ b/internal/router/unstopped.go
@@ -73,6 +73,32 @@
 	return !t.hasOrphans() && t.missedRenewals == 0 && !t.awaitsStop()
 }
 
+// lastContact returns when the host of a job was last known to wait for it: for an ended job, when it ended at the
+// latest; for an open one, when this host sent the last heartbeat that the job's host has echoed.
+func (r *Router) lastContact(j *job) time.Time {
+	if j.ended {
+		return j.lastContactAt
+	}
+	if j.origin == r.Self.Address {
+		return r.now
+	}
+	if p := r.peers[j.origin]; p != nil {
+		return p.lastEchoedAt
+	}
+	return j.offeredAt
+}
+
+// leaseDuration returns the duration of a lease at a target that begins now: Bounds.LeaseDuration, or less if a
+// run there might otherwise outlast Bounds.RetryDelay after its last contact. It may be negative.
+func (r *Router) leaseDuration(t *target) time.Duration {
+	lease := r.Bounds.LeaseDuration
+	margin := r.longestLease(lease) - lease
+	for _, n := range t.runs {
+		lease = min(lease, r.lastContact(n.job).Add(r.Bounds.RetryDelay-margin).Sub(r.now))
+	}
+	return lease
+}
+
 // unstoppedJobs returns the ended jobs with runs that do not obey Stop orders, those that last longest
 // first.
 func (r *Router) unstoppedJobs() []UnstoppedJob {
--- a/internal/router/unstopped_test.go
+++ b/internal/router/unstopped_test.go
@@ -176,7 +176,7 @@
 func TestReportedRunEndsWithLongestLease(t *testing.T) {
 	b, remote := newNeighbourBed(t)
 	b.reportUnstopped(remote, UnstoppedJob{ID: "j", Left: 24 * time.Hour})
-	b.advance(b.router.longestLease() + b.router.Bounds.TickInterval)
+	b.advance(b.router.longestLease(b.router.Bounds.LeaseDuration) + b.router.Bounds.TickInterval)
 	assert.Empty(t, b.router.remoteRuns)
 }
 
