router: no lease is extended for a client that left during a pause

Callers saw a task run in two availability zones at once for 0.21 to 0.29 s: a zone is cut off, the holder there (or the client's host) is paused for 0.5 s (0.42 s), the client's connection is reset meanwhile, and the job's target leaves Stop orders unanswered.

The last contact with a client was taken to be the present time if it is this host's, and else the last echo. A host that resumes renews leases and echoes heartbeats before it reads that the connection has been reset.

Change: the last contact with a client of this host is the tick before the last one, and of another host the last echo less the lag that the host reports, which covers a pause. Both are the present time within 0.1 s while no host is late, so that leases stay full.

Tests that failed before: TestRunEndsBeforeClientOfPausedHolderRetries (1.5 s after the reset, 1.3 s allowed), TestRunEndsBeforeClientOfPausedHostRetries (1.46 s).

--- a/internal/router/contact_test.go
+++ b/internal/router/contact_test.go
@@ -108,3 +108,42 @@
 	assert.Less(t, b.OrderTimeout+r.longestLease(b.LeaseDuration), b.RetryDelay, "an unanswered Stop, and the lease")
 	assert.Less(t, b.OriginTimeout+b.OrderTimeout+b.StopDuration, b.RetryDelay, "the loss of a host, and a Stop")
 }
+
+// TestRunEndsBeforeClientOfPausedHolderRetries guards against leases that a holder extends after a pause, before it
+// learns that a client of its own has left meanwhile.
+func TestRunEndsBeforeClientOfPausedHolderRetries(t *testing.T) {
+	b, _ := newNeighbourBed(t)
+	start, _ := b.startTask("j", Running)
+	running := RunningTask{Task: start.Task, Run: start.Run}
+	b.answerRenewal(Renew{Target: start.Target, Token: start.Token}, running)
+	for range 10 { // the target answers, and the lease is extended
+		for _, e := range effectsOf[Renew](b.advance(b.router.Bounds.TickInterval)) {
+			b.answerRenewal(e, running)
+		}
+	}
+	goneAt := b.now
+	b.now = b.now.Add(b.router.Bounds.LeaseDuration / 2)
+	renewals := append(effectsOf[Renew](b.answerRenewal(Renew{Target: start.Target, Token: start.Token}, running)), effectsOf[Renew](b.step(Tick{}))...)
+	require.NotEmpty(t, renewals)
+	for _, e := range renewals {
+		start.LeaseEnd = max(start.LeaseEnd, e.LeaseEnd)
+	}
+	b.step(ClientGone{Request: 1})
+	assert.LessOrEqual(t, b.loseAnswers(start, b.router.Bounds.RetryDelay).Sub(goneAt), b.router.Bounds.RetryDelay)
+}
+
+// TestRunEndsBeforeClientOfPausedHostRetries guards against leases that a holder extends when the host of a job answers
+// again after a pause, before that host has told that the client has left meanwhile.
+func TestRunEndsBeforeClientOfPausedHostRetries(t *testing.T) {
+	b, start, remote := newRemoteRun(t)
+	goneAt := b.now
+	const pause = 450 * time.Millisecond
+	start.LeaseEnd = b.loseAnswers(start, pause).Sub(time.Unix(testEpoch, 0)).Milliseconds()
+	heartbeat := &Heartbeat{Member: remote, Sent: b.now.UnixNano(), Echo: b.now.UnixNano(), Lag: pause - b.router.Bounds.TickInterval}
+	b.step(Receive{From: remote.Address, Message: Message{Heartbeat: heartbeat}})
+	for _, e := range effectsOf[Renew](b.answerRenewal(Renew{Target: start.Target, Token: start.Token}, RunningTask{Task: start.Task, Run: start.Run})) {
+		start.LeaseEnd = max(start.LeaseEnd, e.LeaseEnd)
+	}
+	b.step(Receive{From: remote.Address, Message: Message{Withdraw: &Withdraw{ID: "j"}}})
+	assert.LessOrEqual(t, b.loseAnswers(start, b.router.Bounds.RetryDelay).Sub(goneAt), b.router.Bounds.RetryDelay)
+}
--- a/internal/router/lag.go
+++ b/internal/router/lag.go
@@ -17,9 +17,10 @@
 // lagMeter measures by how much the ticks of this host come late, because its processor is busy or
 // it was not scheduled.
 type lagMeter struct {
-	lastTickAt time.Time
-	lag        time.Duration
-	measuredAt time.Time
+	lastTickAt     time.Time
+	previousTickAt time.Time
+	lag            time.Duration
+	measuredAt     time.Time
 }
 
 // tick records a tick. Delays of up to the tolerance are usual and do not count.
@@ -28,7 +29,7 @@
 	if !l.lastTickAt.IsZero() && late > tolerance {
 		l.lag, l.measuredAt = min(late, maxLagAllowance), now
 	}
-	l.lastTickAt = now
+	l.previousTickAt, l.lastTickAt = l.lastTickAt, now
 }
 
 // recent returns the last lag, unless it was measured longer ago than the period.
--- a/internal/router/unstopped.go
+++ b/internal/router/unstopped.go
@@ -73,17 +73,19 @@
 	return !t.hasOrphans() && t.missedRenewals == 0 && !t.awaitsStop()
 }
 
-// lastContact returns when the host of a job was last known to wait for it: for an ended job, when it ended at the
-// latest; for an open one, when this host sent the last heartbeat that the job's host has echoed.
+// lastContact returns when the host of a job was last known to have its client: for an ended job, when it ended at
+// the latest. A host that was paused for a time may learn only after its next tick that the client has left meanwhile.
+// So the time of an open job is the tick before the last one if it is of this host's client, and otherwise when this
+// host sent the last heartbeat that the job's host has echoed, less the lag of that host.
 func (r *Router) lastContact(j *job) time.Time {
 	if j.ended {
 		return j.lastContactAt
 	}
 	if j.origin == r.Self.Address {
-		return r.now
+		return later(r.lag.previousTickAt, j.offeredAt)
 	}
 	if p := r.peers[j.origin]; p != nil {
-		return p.lastEchoedAt
+		return p.lastEchoedAt.Add(-p.lag)
 	}
 	return j.offeredAt
 }
