--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -331,7 +331,6 @@
 func (r *Router) sendStart(n *run) {
 	t := n.target
 	r.startRate.add(r.now)
-	// A target refuses a Start whose lease is over.
 	leaseEnd, timeout := r.extendLeases(t, max(r.leaseDuration(t), 0)), r.startTimeout(n)
 	n.recordAttempt(r.now, leaseEnd)
 	r.emit(Start{
