router: the log of a lost run names its source and the target's known process

A line suspect, crash or acquit told neither whether the host saw the loss itself or was told of it, nor which process of the target it compared with. No decision has changed.

--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -207,12 +207,13 @@
 	if n.process == 0 || t.Draining {
 		return
 	}
-	r.addCrash(Crash{Job: n.job.spec.ID, Task: n.task, Target: t.ID, StartedAt: n.process, Confirmed: replaced || n.process < t.incarnation}, n.job.origin)
+	r.addCrash(Crash{Job: n.job.spec.ID, Task: n.task, Target: t.ID, StartedAt: n.process, Confirmed: replaced || n.process < t.incarnation}, n.job.origin, "", "run", n.number, "state", n.state)
 }
 
 // addCrash adds a crash to the ledger and reports it to the host of the job's client, unless
-// origin is empty.
-func (r *Router) addCrash(c Crash, origin string) {
+// origin is empty. source is the address of the host that has told of the crash, or empty for this
+// host; pairs are logged.
+func (r *Router) addCrash(c Crash, origin, source string, pairs ...any) {
 	if !r.crashes.add(c, r.now) {
 		return
 	}
@@ -224,22 +225,29 @@
 	if c.Confirmed {
 		action = "crash"
 	}
-	r.logCrash(action, c)
+	if source != "" {
+		pairs = append(pairs, "source", source)
+	}
+	r.logCrash(action, c, pairs...)
 }
 
 // logCrash logs a change of the ledger. Only holders do, so that a crash is not counted once for
 // each host that hears of it.
-func (r *Router) logCrash(action string, c Crash) {
+func (r *Router) logCrash(action string, c Crash, pairs ...any) {
 	if !r.holdsAnyCell() {
 		return
 	}
-	r.emit(Decision{Action: action, Job: c.Job, Task: taskName(c.Job, c.Task), Target: c.Target, Pairs: []any{
-		"born", c.StartedAt, "crashes", len(r.crashes.crashesOf(c.Job, c.Task)),
-	}})
+	known := int64(0)
+	if t := r.targets[c.Target]; t != nil {
+		known = t.incarnation
+	}
+	r.emit(Decision{Action: action, Job: c.Job, Task: taskName(c.Job, c.Task), Target: c.Target, Pairs: append([]any{
+		"born", c.StartedAt, "known", known, "crashes", len(r.crashes.crashesOf(c.Job, c.Task)),
+	}, pairs...)})
 }
 
-// mergeCrashes adds crashes that another host has recorded.
-func (r *Router) mergeCrashes(crashes []Crash) {
+// mergeCrashes adds crashes that the host with an address has recorded.
+func (r *Router) mergeCrashes(crashes []Crash, source string) {
 	for _, c := range crashes {
 		if t := r.targets[c.Target]; t != nil && !c.Confirmed {
 			if t.incarnation == c.StartedAt && t.fenced && t.missedRenewals == 0 {
@@ -247,7 +255,7 @@
 			}
 			c.Confirmed = t.incarnation > c.StartedAt
 		}
-		r.addCrash(c, "")
+		r.addCrash(c, "", source)
 		r.endJobOfCrashes(c.Job)
 	}
 }
@@ -281,7 +289,7 @@
 	if j := r.jobs[c.Job]; j != nil {
 		origin = j.origin
 	}
-	r.addCrash(c, origin)
+	r.addCrash(c, origin, "")
 	r.endJobOfCrashes(c.Job)
 }
 
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -357,7 +357,7 @@
 // not reach targets that answer here.
 func TestOtherHostsSuspicionIsChecked(t *testing.T) {
 	b := newCrashBed(t, 3)
-	b.router.mergeCrashes([]Crash{{Job: "x", Target: "p", StartedAt: bornAt}, {Job: "x", Target: "q", StartedAt: bornAt - 1}})
+	b.router.mergeCrashes([]Crash{{Job: "x", Target: "p", StartedAt: bornAt}, {Job: "x", Target: "q", StartedAt: bornAt - 1}}, "")
 	assert.Equal(t, []Crash{{Job: "x", Target: "q", StartedAt: bornAt - 1, Confirmed: true}}, b.router.crashes.crashesOf("x", 0))
 }
 
@@ -367,7 +367,7 @@
 	b := newCrashBed(t, 3)
 	b.step(EvacuationsRead{RequestedAt: b.now, Evacuations: Evacuations{Version: 2, Zones: []string{"north"}}})
 	b.submit(longJob("y"))
-	b.router.mergeCrashes(confirmedCrashes("x"))
+	b.router.mergeCrashes(confirmedCrashes("x"), "")
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 2)
 	assert.Equal(t, Refused, b.answers[0].Outcome)
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -166,7 +166,7 @@
 	case m.Verdict != nil:
 		r.handleVerdict(p.member.Address, *m.Verdict)
 	case m.Progress != nil:
-		r.handleProgress(m.Progress)
+		r.handleProgress(m.Progress, e.From)
 	case m.Config != nil:
 		r.adoptConfig(m.Config, "peer")
 	case m.Directory != nil:
@@ -205,7 +205,7 @@
 	}
 	r.importProfiles(p, heartbeat)
 	r.importInterferences(p, heartbeat)
-	r.mergeCrashes(heartbeat.Crashes)
+	r.mergeCrashes(heartbeat.Crashes, p.member.Address)
 	if r.isReachable(p) {
 		r.handlePeerReachable(p)
 	}
--- a/internal/router/progress.go
+++ b/internal/router/progress.go
@@ -16,7 +16,7 @@
 func (r *Router) sendProgress() {
 	for _, address := range sortedKeys(r.unreported) {
 		if address == r.Self.Address {
-			r.handleProgress(r.unreported[address])
+			r.handleProgress(r.unreported[address], address)
 		} else if p := r.peers[address]; p != nil {
 			r.send(p, Message{Progress: r.unreported[address]})
 		}
@@ -24,9 +24,10 @@
 	clear(r.unreported)
 }
 
-// handleProgress records finished tasks of this host's requests, and crashes of targets.
-func (r *Router) handleProgress(progress *Progress) {
-	r.mergeCrashes(progress.Crashes)
+// handleProgress records finished tasks of this host's requests, and crashes of targets that the
+// host with an address has recorded.
+func (r *Router) handleProgress(progress *Progress, source string) {
+	r.mergeCrashes(progress.Crashes, source)
 	for _, m := range progress.Tasks {
 		if q := r.requestsByJob[m.ID]; q != nil {
 			q.hasDoneTask = true
