router: only a crash that is certain counts against a task

Cause: two crashes under a task fail its job, and a target that had fallen silent counted as crashed as soon as a later process of it was known, whenever that started. A target that is cut off lets its runs lapse after a second, lives on, and may end for any reason later.

Change: the loss of a run is confirmed only if the target's process has ended before the leases of its runs can have expired: a later process answers by then, or the target's host refuses a connection. lease.go has the definition, with this host's clock only. Losses that a later process leaves undecided never fail a job; three losses of any kind keep the task from starting, and the client is told 504 with the time until they are forgotten as soon as no target can be cleared any more. Losses name their run, by which a receiver knows that the sender follows this definition; the confirmations and the verdict "crashes" of earlier builds count as doubt.

--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -71,7 +71,7 @@
 	case "exhausted":
 		s.Cause = "a task failed as often as its route allows"
 		s.addEndEvidence("failed")
-	case "crashes":
+	case "crashed", "crashes": // as earlier versions have it
 		s.Cause = "targets crashed under one of its tasks, so it was given up"
 		for _, l := range s.Lines {
 			if l.Action == "crash" {
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -268,7 +268,7 @@
 		}
 	}
 	t.unackedEnds = unacked
-	answer := router.RenewAnswered{Target: e.Target.ID, Token: e.Token, SentAt: sentAt, Poll: e.Poll, Result: router.Running, StartedAt: t.entry.StartedAt, Ended: unacked}
+	answer := router.RenewAnswered{Target: e.Target.ID, Token: e.Token, SentAt: sentAt, Poll: e.Poll, LeaseEnd: e.LeaseEnd, Result: router.Running, StartedAt: t.entry.StartedAt, Ended: unacked}
 	for _, r := range t.sortedRuns() {
 		percent := 0.0
 		if t.mode != hanging {
@@ -364,6 +364,9 @@
 	}
 	sm.schedule(delay, func() {
 		if !t.up {
+			h.schedule(delay, func() {
+				answer(router.RenewAnswered{Target: e.Target.ID, Token: e.Token, SentAt: sentAt, Poll: e.Poll, Result: router.NotSent, Unreachable: true})
+			})
 			return
 		}
 		if !t.acceptToken(e.Token) {
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -57,8 +57,8 @@
 // charges an accepted job to the route's budget.
 func (r *Router) admit(j *job) (Verdict, bool) {
 	v := Verdict{ID: j.spec.ID, Outcome: Refused}
-	if r.hasCrashingTask(j) {
-		v.Outcome, v.Reason = Failed, Crashes
+	if v, isOver := r.crashVerdict(j); isOver {
+		v.ID = j.spec.ID
 		return v, true
 	}
 	if r.bestFit(&j.spec) == fitsNowhere {
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -162,7 +162,7 @@
 // checkCrashes checks crashes that were received from another host.
 func checkCrashes(crashes []Crash) error {
 	for _, c := range crashes {
-		if c.Job == "" || c.Task < 0 || c.Task >= MaxTasks || c.Target == "" || c.StartedAt <= 0 {
+		if c.Run < 0 || c.Run > maxRunNumber || c.Job == "" || c.Task < 0 || c.Task >= MaxTasks || c.Target == "" || c.StartedAt <= 0 {
 			return &MalformedError{"a crash", fmt.Sprint(c)}
 		}
 	}
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Crash is the loss of a target's process while a task ran on it.
+// Crash is the loss of a run with the process of its target, which may have crashed under the run.
 type Crash struct {
 	Job  string `cbor:"1,keyasint"`
 	Task int    `cbor:"2,keyasint"`
@@ -14,15 +14,35 @@
 	// milliseconds.
 	Target    string `cbor:"3,keyasint"`
 	StartedAt int64  `cbor:"4,keyasint"`
-	// Confirmed is true if the target is known to have started again since. Otherwise the
-	// process has only fallen silent: it may be paused or cut off.
+	// Confirmed is true if the process has certainly ended while the run was under way there; see
+	// Router.recordProcessEnd. Otherwise it may have been paused or cut off, and have outlived the
+	// run. Hosts of earlier versions, which name no run, also confirm the end of a process at any
+	// later time.
 	Confirmed bool `cbor:"5,keyasint,omitempty"`
+	// Run is the number of the run; 0 from hosts of earlier versions.
+	Run int `cbor:"6,keyasint,omitempty"`
+	// Replaced is true once a later process of the target is known here, so that the lost one
+	// cannot answer any more.
+	Replaced bool `cbor:"-"`
+}
+
+// isSettled reports whether no answer of the lost process is to be expected any more.
+func (c Crash) isSettled() bool { return c.Confirmed || c.Replaced }
+
+// isSame reports whether two crashes are the same loss. Without the number of a run, a process is
+// lost once under a task.
+func (c Crash) isSame(other Crash) bool {
+	return c.Target == other.Target && c.StartedAt == other.StartedAt && (c.Run == other.Run || c.Run == 0 || other.Run == 0)
 }
 
 const (
-	// maxCrashes is the number of crashes under a task at which its job is given up. The platform
-	// allows that from two crashes on.
+	// maxCrashes is the number of confirmed crashes under a task at which its job is given up. The
+	// platform allows that from two crashes on.
 	maxCrashes = 2
+	// maxLostRuns is the number of crashes under a task, confirmed or not, at which it is not started
+	// again. The platform allows two more starts after three crashes; these are left to holders that
+	// do not know of all crashes yet.
+	maxLostRuns = 3
 	// crashRetention is how long the crashes under a task are kept after the last one. It covers
 	// several submissions of a job, each with the longest usual timeout.
 	crashRetention = time.Minute
@@ -48,22 +68,22 @@
 // submission. The zero value is empty.
 type crashLedger struct {
 	entries map[taskKey]*crashEntry
-	// unconfirmed counts the crashes that are not confirmed, by target, and jobEntries the entries
-	// of each job.
-	unconfirmed, jobEntries map[string]int
-	prunedAt                time.Time
+	// unsettled counts the crashes whose process may still answer, by target, and jobEntries the
+	// entries of each job.
+	unsettled, jobEntries map[string]int
+	prunedAt              time.Time
 }
 
-// crashEntry lists the crashes under one task, one for each process of a target.
+// crashEntry lists the crashes under one task, one for each lost run.
 type crashEntry struct {
 	crashes   []Crash
 	changedAt time.Time
 }
 
-// add adds a crash or confirms a known one. It reports whether the ledger has changed.
-func (l *crashLedger) add(c Crash, now time.Time) bool {
+// entryOf returns the entry of a crash's task, which it creates if there is none.
+func (l *crashLedger) entryOf(c Crash) *crashEntry {
 	if l.entries == nil {
-		l.entries, l.unconfirmed, l.jobEntries = make(map[taskKey]*crashEntry), make(map[string]int), make(map[string]int)
+		l.entries, l.unsettled, l.jobEntries = make(map[taskKey]*crashEntry), make(map[string]int), make(map[string]int)
 	}
 	key := taskKey{c.Job, c.Task}
 	e := l.entries[key]
@@ -75,44 +95,39 @@
 		l.entries[key] = e
 		l.jobEntries[c.Job]++
 	}
-	i := slices.IndexFunc(e.crashes, func(known Crash) bool { return known.Target == c.Target && known.StartedAt == c.StartedAt })
-	switch {
-	case i < 0:
-		e.crashes = append(e.crashes, c)
-		if !c.Confirmed {
-			l.unconfirmed[c.Target]++
-		}
-	case c.Confirmed && !e.crashes[i].Confirmed:
-		e.crashes[i].Confirmed = true
-		decrement(l.unconfirmed, c.Target)
-	default:
-		return false
-	}
-	e.changedAt = now
-	return true
+	return e
 }
 
-// decrement decrements a count and deletes it at zero.
-func decrement(counts map[string]int, key string) {
-	counts[key]--
-	if counts[key] == 0 {
-		delete(counts, key)
+// add adds a crash, or adds what it tells to a known one. It reports whether the ledger has changed.
+func (l *crashLedger) add(c Crash, now time.Time) bool {
+	e := l.entryOf(c)
+	i := slices.IndexFunc(e.crashes, c.isSame)
+	if i < 0 {
+		e.crashes, e.changedAt = append(e.crashes, c), now
+		l.countUnsettled(c, 1)
+		return true
+	}
+	known := e.crashes[i]
+	merged := known
+	merged.Run, merged.Confirmed, merged.Replaced = max(known.Run, c.Run), known.Confirmed || c.Confirmed, known.Replaced || c.Replaced
+	if merged == known {
+		return false
 	}
+	l.countUnsettled(known, -1)
+	l.countUnsettled(merged, 1)
+	e.crashes[i], e.changedAt = merged, now
+	return true
 }
 
-// remove removes the entry of a task.
-func (l *crashLedger) remove(key taskKey) {
-	e := l.entries[key]
-	if e == nil {
+// countUnsettled adds to the number of a target's unsettled crashes if c is one of them.
+func (l *crashLedger) countUnsettled(c Crash, change int) {
+	if c.isSettled() {
 		return
 	}
-	for _, c := range e.crashes {
-		if !c.Confirmed {
-			decrement(l.unconfirmed, c.Target)
-		}
+	l.unsettled[c.Target] += change
+	if l.unsettled[c.Target] == 0 {
+		delete(l.unsettled, c.Target)
 	}
-	delete(l.entries, key)
-	decrement(l.jobEntries, key.job)
 }
 
 // clear removes a crash that was none.
@@ -121,12 +136,28 @@
 	e := l.entries[key]
 	e.crashes = slices.DeleteFunc(e.crashes, func(known Crash) bool { return known == c })
 	e.changedAt = now
-	decrement(l.unconfirmed, c.Target)
+	l.countUnsettled(c, -1)
 	if len(e.crashes) == 0 {
 		l.remove(key)
 	}
 }
 
+// remove removes the entry of a task.
+func (l *crashLedger) remove(key taskKey) {
+	e := l.entries[key]
+	if e == nil {
+		return
+	}
+	for _, c := range e.crashes {
+		l.countUnsettled(c, -1)
+	}
+	delete(l.entries, key)
+	l.jobEntries[key.job]--
+	if l.jobEntries[key.job] == 0 {
+		delete(l.jobEntries, key.job)
+	}
+}
+
 func (l *crashLedger) removeOldest() {
 	var oldest taskKey
 	for key, e := range l.entries {
@@ -199,150 +230,3 @@
 	}
 	return list[:min(len(list), maxSentCrashes)]
 }
-
-// recordLostRun records that a run was lost with the process of its target, or that this process
-// does not answer. That a draining target ends is no crash.
-func (r *Router) recordLostRun(n *run, replaced bool) {
-	t := n.target
-	if n.process == 0 || t.Draining {
-		return
-	}
-	r.addCrash(Crash{Job: n.job.spec.ID, Task: n.task, Target: t.ID, StartedAt: n.process, Confirmed: replaced || n.process < t.incarnation}, n.job.origin, "", "run", n.number, "state", n.state)
-}
-
-// addCrash adds a crash to the ledger and reports it to the host of the job's client, unless
-// origin is empty. source is the address of the host that has told of the crash, or empty for this
-// host; pairs are logged.
-func (r *Router) addCrash(c Crash, origin, source string, pairs ...any) {
-	if !r.crashes.add(c, r.now) {
-		return
-	}
-	if origin != "" {
-		progress := r.progressFor(origin)
-		progress.Crashes = append(progress.Crashes, c)
-	}
-	action := "suspect"
-	if c.Confirmed {
-		action = "crash"
-	}
-	if source != "" {
-		pairs = append(pairs, "source", source)
-	}
-	r.logCrash(action, c, pairs...)
-}
-
-// logCrash logs a change of the ledger. Only holders do, so that a crash is not counted once for
-// each host that hears of it.
-func (r *Router) logCrash(action string, c Crash, pairs ...any) {
-	if !r.holdsAnyCell() {
-		return
-	}
-	known := int64(0)
-	if t := r.targets[c.Target]; t != nil {
-		known = t.incarnation
-	}
-	r.emit(Decision{Action: action, Job: c.Job, Task: taskName(c.Job, c.Task), Target: c.Target, Pairs: append([]any{
-		"born", c.StartedAt, "known", known, "crashes", len(r.crashes.crashesOf(c.Job, c.Task)),
-	}, pairs...)})
-}
-
-// mergeCrashes adds crashes that the host with an address has recorded.
-func (r *Router) mergeCrashes(crashes []Crash, source string) {
-	for _, c := range crashes {
-		if t := r.targets[c.Target]; t != nil && !c.Confirmed {
-			if t.incarnation == c.StartedAt && t.fenced && t.missedRenewals == 0 {
-				continue // the process answers here
-			}
-			c.Confirmed = t.incarnation > c.StartedAt
-		}
-		r.addCrash(c, "", source)
-		r.endJobOfCrashes(c.Job)
-	}
-}
-
-// updateCrashes confirms the crashes of the earlier processes of a target once a later one is
-// known, and clears those of the present process if it has answered.
-func (r *Router) updateCrashes(target string, startedAt int64, answered bool) {
-	if r.crashes.unconfirmed[target] == 0 {
-		return
-	}
-	isUnconfirmed := func(c Crash) bool { return c.Target == target && !c.Confirmed }
-	for _, key := range r.crashes.keysOf(func(e *crashEntry) bool { return slices.ContainsFunc(e.crashes, isUnconfirmed) }) {
-		for _, c := range slices.Clone(r.crashes.crashesOf(key.job, key.task)) {
-			switch {
-			case !isUnconfirmed(c):
-			case c.StartedAt < startedAt:
-				r.confirmCrash(c)
-			case c.StartedAt == startedAt && answered:
-				r.crashes.clear(c, r.now)
-				r.logCrash("acquit", c)
-				r.placementNeeded = true
-			}
-		}
-	}
-}
-
-// confirmCrash confirms a crash, and tells the host of the job's client if that is known.
-func (r *Router) confirmCrash(c Crash) {
-	c.Confirmed = true
-	origin := ""
-	if j := r.jobs[c.Job]; j != nil {
-		origin = j.origin
-	}
-	r.addCrash(c, origin, "")
-	r.endJobOfCrashes(c.Job)
-}
-
-// endJobOfCrashes gives a job up if targets have crashed under one of its tasks too often.
-func (r *Router) endJobOfCrashes(id string) {
-	if j := r.jobs[id]; j != nil && !j.ended && r.hasCrashingTask(j) {
-		r.endJob(j, Verdict{Outcome: Failed, Reason: Crashes})
-	}
-}
-
-// hasCrashingTask reports whether maxCrashes crashes under one task of a job are confirmed.
-func (r *Router) hasCrashingTask(j *job) bool {
-	if r.crashes.jobEntries[j.spec.ID] == 0 {
-		return false
-	}
-	for i := range j.spec.Count {
-		confirmed := 0
-		for _, c := range r.crashes.crashesOf(j.spec.ID, i) {
-			if c.Confirmed {
-				confirmed++
-			}
-		}
-		if confirmed >= maxCrashes && (i >= len(j.tasks) || j.tasks[i].state != taskDone) {
-			return true
-		}
-	}
-	return false
-}
-
-// isHeldForCrashes reports whether a task may not start before it is known whether the targets
-// that fell silent under it have crashed.
-func (r *Router) isHeldForCrashes(j *job, task int) bool {
-	return len(r.crashes.crashesOf(j.spec.ID, task)) >= maxCrashes
-}
-
-// isolationPenalty is the penalty of a target where a task under which a target has crashed would
-// run beside others, or where such a task has crashed before. It outweighs all other penalties.
-const isolationPenalty = 8_000_000
-
-// crashPenalty returns isolationPenalty if a task should rather not be placed at a target, so
-// that a crash affects no other tasks and tells which one has caused it.
-func (r *Router) crashPenalty(crashes []Crash, t *target) int {
-	if !r.isEnabled(CrashIsolation) {
-		return 0
-	}
-	if len(crashes) > 0 {
-		if len(t.runs) > 0 || slices.ContainsFunc(crashes, func(c Crash) bool { return c.Target == t.ID }) {
-			return isolationPenalty
-		}
-		return 0
-	}
-	if t.suspectCount > 0 {
-		return isolationPenalty
-	}
-	return 0
-}
--- a/internal/router/directory.go
+++ b/internal/router/directory.go
@@ -177,7 +177,7 @@
 	r.dropUnlistedStandby()
 	for _, entry := range d.Targets {
 		r.cell(entry.Zone)
-		r.updateCrashes(entry.ID, entry.StartedAt, false)
+		r.updateCrashes(entry.ID, entry.StartedAt, nil)
 	}
 	r.syncTargets()
 	for _, p := range r.sortedPeers() {
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -280,11 +280,8 @@
 			return
 		}
 	}
-	if r.hasCrashingTask(j) {
-		r.endJob(j, Verdict{Outcome: Failed, Reason: Crashes})
-		return
-	}
-	if j.waitingCount > 0 && !r.queue.Has(j) && r.jobs[j.spec.ID] == j {
+	r.endJobOfCrashes(j)
+	if !j.ended && j.waitingCount > 0 && !r.queue.Has(j) && r.jobs[j.spec.ID] == j {
 		r.queue.Push(j)
 	}
 }
--- /dev/null
+++ b/internal/router/lease.go
@@ -0,0 +1,68 @@
+package router
+
+import "time"
+
+// leaseEnd returns the end of a lease that starts now, in milliseconds of the target's clock,
+// or 0 if that clock is not known.
+func (t *target) leaseEnd(now time.Time, lease time.Duration) int64 {
+	if t.lastReading.At.IsZero() {
+		return 0
+	}
+	return t.lastReading.Millis + (now.Sub(t.lastReading.At) + lease).Milliseconds()
+}
+
+// longestLease returns how long a lease may last by this host's clock: with the greatest clock drift and
+// leaseExpiryMargin.
+func (r *Router) longestLease(lease time.Duration) time.Duration {
+	return lease + time.Duration(float64(lease)*r.Bounds.MaxClockDrift) + leaseExpiryMargin
+}
+
+// extendLeases records that an order extends the leases of a target's runs, and returns the lease end for the
+// order; see target.leaseEnd.
+func (r *Router) extendLeases(t *target, lease time.Duration) int64 {
+	t.runsExpireAt = later(t.runsExpireAt, r.now.Add(r.longestLease(lease)))
+	return t.leaseEnd(r.now, lease)
+}
+
+// updateClock stores a reading of the target's clock if it is newer than the last one.
+func (t *target) updateClock(clock Reading) {
+	if !clock.At.IsZero() && clock.At.After(t.lastReading.At) {
+		t.lastReading = clock
+	}
+}
+
+// recordLease updates until when the runs of a target keep their leases for certain, from an answer
+// of the target to an order that was sent at sentAt with a lease end. The bound is that of this
+// host's clock, with the greatest drift and the shortest delays that the answers allow.
+func (r *Router) recordLease(t *target, clock Reading, sentAt time.Time, leaseEnd int64) {
+	if clock.At.IsZero() {
+		return
+	}
+	least := func(millis int64) time.Duration {
+		d := time.Duration(millis-1) * time.Millisecond // readings are rounded down
+		return d - time.Duration(float64(d)*r.Bounds.MaxClockDrift)
+	}
+	readAt := sentAt
+	if f := t.earliestReading; !f.At.IsZero() && clock.Millis >= f.Millis {
+		readAt = later(readAt, f.At.Add(least(clock.Millis-f.Millis)))
+	}
+	t.earliestReading = Reading{Millis: clock.Millis, At: readAt}
+	if left := min(leaseEnd-clock.Millis, r.Bounds.LeaseDuration.Milliseconds()); left > 0 {
+		t.heldUntil = later(t.heldUntil, readAt.Add(least(left)))
+	}
+}
+
+// recordProcessEnd takes note that the listed process of a target has ended by now: another process
+// answers in its place, or none listens at its address. Its runs have certainly ended with it if
+// their leases cannot have expired before. A process that is only cut off or paused shows neither,
+// and one that is replaced later may have outlived the runs.
+func (r *Router) recordProcessEnd(t *target) {
+	if t.listedProcess > 0 && !r.now.After(t.heldUntil) {
+		t.endedProcess = t.listedProcess
+	}
+}
+
+// hasEndedUnder reports whether a target's process has certainly ended while a run was under way.
+func (t *target) hasEndedUnder(n *run) bool {
+	return n.process != 0 && n.process == t.endedProcess && n.state == runRunning
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -17,9 +17,14 @@
 	}
 	t.updateClock(e.Clock)
 	t.listedProcess = e.StartedAt
+	r.recordLease(t, e.Clock, e.SentAt, e.LeaseEnd)
+	if e.StartedAt > 0 && e.StartedAt == t.endedProcess {
+		t.endedProcess = 0
+		r.acquitProcess(t.ID, e.StartedAt)
+	}
 	if e.StartedAt > 0 {
 		t.incarnation = e.StartedAt
-		r.updateCrashes(t.ID, e.StartedAt, true)
+		r.updateCrashes(t.ID, e.StartedAt, &e)
 	}
 	t.lastConfirmedAt = later(t.lastConfirmedAt, e.SentAt)
 	if t.missedRenewals > 0 {
@@ -193,6 +198,9 @@
 	switch {
 	case e.Result == Running:
 		n.state, n.confirmedAt, n.startClock = runRunning, r.now, e.Clock.Millis
+		if n.attempts == 1 && n.process == t.listedProcess {
+			r.recordLease(t, e.Clock, n.attemptAt, n.startLeaseEnd)
+		}
 		r.emitStageDuration(n.job, Started, n.sentAt)
 		if n.job.ended || n.job.tasks[n.task].run != n {
 			r.stopRun(n)
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -253,9 +253,12 @@
 	// NoHolder means that no reachable host holds the zone's cell, or that the holder
 	// lost contact with the job's host.
 	NoHolder Reason = "unheld"
-	// Crashes means that targets have crashed under one of the job's tasks, so that it is not
-	// started again.
-	Crashes Reason = "crashes"
+	// Crashes means that targets have certainly crashed under one of the job's tasks, so that it is
+	// not started again.
+	Crashes Reason = "crashed"
+	// suspectedCrashes is the reason that hosts of earlier versions give also for targets that may
+	// have outlived the task's runs.
+	suspectedCrashes Reason = "crashes"
 	// Stopping means that the host shut down before the job ended.
 	Stopping Reason = "stopping"
 	// Withdrawn means that the client cancelled the job or disconnected.
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -239,6 +239,9 @@
 // handleVerdict handles the verdict of a holder on a request.
 func (r *Router) handleVerdict(holder string, v Verdict) {
 	r.confirmWithdrawal(holder, v)
+	if v.Reason == suspectedCrashes {
+		v.Reason, v.RetryAfter = Expired, crashRetention
+	}
 	q := r.requestsByJob[v.ID]
 	if q == nil || v.Outcome != Complete && v.SubmissionID != 0 && v.SubmissionID != q.arrivedAt.UnixNano() {
 		return // it belongs to an earlier submission
--- a/internal/router/repeat.go
+++ b/internal/router/repeat.go
@@ -110,8 +110,8 @@
 	j.deadline = later(j.deadline, r.now.Add(o.TimeLeft))
 	r.emit(Decision{Action: "repeat", Job: j.spec.ID, Pairs: []any{"origin", origin, "offered", o.Token, "resent", o.Reoffered, "over", j.ended, "outcome", j.verdict.Outcome}})
 	if j.ended {
-		if j.verdict.Reason == Expired && r.hasCrashingTask(j) {
-			j.verdict.Reason = Crashes // found since the verdict
+		if v, isOver := r.crashVerdict(j); isOver && j.verdict.Reason == Expired {
+			j.verdict.Reason, j.verdict.RetryAfter = v.Reason, v.RetryAfter // found since the verdict
 		}
 		j.verdict.SubmissionID, j.verdict.Token = o.SubmissionID, j.token
 		r.sendVerdict(origin, j.verdict)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -25,8 +25,14 @@
 	incarnation int64
 	// listedProcess is the start time of the process that sent the newest run list; 0 if it is not known.
 	listedProcess int64
-	runs          map[string]*run // by task
-	used          Resources
+	// endedProcess is the start time of a process that has ended before its leases can have expired; see
+	// recordProcessEnd. heldUntil is until when they last at least, and earliestReading the newest reading
+	// of the clock, with the earliest time at which it can have been made.
+	endedProcess    int64
+	heldUntil       time.Time
+	earliestReading Reading
+	runs            map[string]*run // by task
+	used            Resources
 	// suspectCount counts the runs of tasks under which a target had crashed before.
 	suspectCount int
 	overdueStops int // runs with stopOverdue
@@ -237,6 +243,8 @@
 // started after the restart may continue.
 func (r *Router) handleTargetRestart(t *target, startedAt int64) {
 	r.logTarget(t, "restarted", "born", startedAt)
+	r.recordProcessEnd(t)
+	t.earliestReading, t.heldUntil = Reading{}, time.Time{}
 	t.incarnation, t.lastAckedEnd, t.lastReading, t.runListClock = startedAt, 0, Reading{}, 0
 	t.orphanRunNumbers, t.unmatchedEnds = make(map[string]int), make(map[string]End)
 	t.failures, t.slowdownSum, t.ejectedUntil = 0, 0, time.Time{}
@@ -301,35 +309,6 @@
 	return t.missedRenewals > 0 || r.now.Sub(t.lastConfirmedAt) > r.Bounds.IdleRenewInterval+r.Bounds.RenewTimeout
 }
 
-// leaseEnd returns the end of a lease that starts now, in milliseconds of the target's clock,
-// or 0 if that clock is not known.
-func (t *target) leaseEnd(now time.Time, lease time.Duration) int64 {
-	if t.lastReading.At.IsZero() {
-		return 0
-	}
-	return t.lastReading.Millis + (now.Sub(t.lastReading.At) + lease).Milliseconds()
-}
-
-// longestLease returns how long a lease may last by this host's clock: with the greatest clock drift and
-// leaseExpiryMargin.
-func (r *Router) longestLease(lease time.Duration) time.Duration {
-	return lease + time.Duration(float64(lease)*r.Bounds.MaxClockDrift) + leaseExpiryMargin
-}
-
-// extendLeases records that an order extends the leases of a target's runs, and returns the lease end for the
-// order; see target.leaseEnd.
-func (r *Router) extendLeases(t *target, lease time.Duration) int64 {
-	t.runsExpireAt = later(t.runsExpireAt, r.now.Add(r.longestLease(lease)))
-	return t.leaseEnd(r.now, lease)
-}
-
-// updateClock stores a reading of the target's clock if it is newer than the last one.
-func (t *target) updateClock(clock Reading) {
-	if !clock.At.IsZero() && clock.At.After(t.lastReading.At) {
-		t.lastReading = clock
-	}
-}
-
 // renewTarget sends the next renewal when it is due, unless one is under way. A fenced target
 // with runs that has missed no renewal delays its answer until a run ends or RenewWait has
 // passed; other targets answer at once.
@@ -405,6 +384,9 @@
 	case Replaced:
 		r.handleReplacedTarget(t)
 	default:
+		if e.Unreachable && e.SentAt.After(t.runListAt) {
+			r.recordProcessEnd(t)
+		}
 		if !r.toleratesMiss(t) {
 			r.handleMissedRenewal(t, e.SentAt)
 		}
@@ -449,6 +431,7 @@
 // unresponsive until it answers a renewal.
 func (r *Router) handleReplacedTarget(t *target) {
 	r.logTarget(t, "replaced")
+	r.recordProcessEnd(t)
 	for _, name := range sortedKeys(t.runs) {
 		r.recordLostRun(t.runs[name], true)
 		r.endRun(t.runs[name], EndLeaseExpired)
