router: an acquittal reaches all hosts that know of the crash

Cause: a holder that hears of a target again clears the crash for itself only. The host of the client, which was told of the crash, kept its copy and offered it to the next holder with the job; heartbeats of other hosts brought copies back as well.

Change: the ledger keeps acquittals, which name the run, and rejects copies of that crash. Progress, heartbeats and offers carry them in fields of their own, which hosts of earlier builds skip. A later loss at the same process has another run and counts.

--- a/internal/router/acquittal_test.go
+++ b/internal/router/acquittal_test.go
@@ -44,7 +44,7 @@
 	b.run(b.router.Bounds.IdleRenewInterval + time.Second)
 	second := starts[1].Target.ID
 	require.Greater(t, b.router.targets[second].incarnation, int64(bornAt))
-	b.router.mergeCrashes([]Crash{{Job: "x", Target: second, StartedAt: bornAt}}, "")
+	b.router.mergeCrashes([]Crash{{Job: "x", Target: second, StartedAt: bornAt}}, nil, "")
 	for _, c := range b.router.crashes.crashesOf("x", 0) {
 		assert.NotEqual(t, second, c.Target)
 	}
@@ -91,7 +91,7 @@
 	for i := range crashes {
 		crashes[i].Run = 0
 	}
-	b.router.mergeCrashes(crashes, "")
+	b.router.mergeCrashes(crashes, nil, "")
 	assert.Empty(t, b.answers)
 
 	origin := newOriginBed(t)
--- a/internal/router/check.go
+++ b/internal/router/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -56,7 +57,7 @@
 	case m.Heartbeat != nil:
 		return m.Heartbeat.check()
 	case m.Progress != nil:
-		return checkCrashes(m.Progress.Crashes)
+		return checkCrashes(m.Progress.Crashes, m.Progress.Acquittals)
 	}
 	return nil
 }
@@ -78,7 +79,7 @@
 	if err := checkZoneNames(o.ReachableZones); err != nil {
 		return err
 	}
-	return checkCrashes(o.Crashes)
+	return checkCrashes(o.Crashes, o.Acquittals)
 }
 
 func (h *Heartbeat) check() error {
@@ -102,7 +103,7 @@
 			return &MalformedError{"the token of a claim", fmt.Sprint(c.Token)}
 		}
 	}
-	if err := checkCrashes(h.Crashes); err != nil {
+	if err := checkCrashes(h.Crashes, h.Acquittals); err != nil {
 		return err
 	}
 	if err := checkLoads(h.Loads, h.Neighbours); err != nil {
@@ -159,9 +160,9 @@
 // isStorable reports whether a zone's claim can be a row of the platform's store.
 func isStorable(zone string) bool { return zone != "" && len(zone) <= maxKeyBytes }
 
-// checkCrashes checks crashes that were received from another host.
-func checkCrashes(crashes []Crash) error {
-	for _, c := range crashes {
+// checkCrashes checks crashes and acquittals that were received from another host.
+func checkCrashes(crashes, acquittals []Crash) error {
+	for _, c := range slices.Concat(crashes, acquittals) {
 		if c.Run < 0 || c.Run > maxRunNumber || c.Job == "" || c.Task < 0 || c.Task >= MaxTasks || c.Target == "" || c.StartedAt <= 0 {
 			return &MalformedError{"a crash", fmt.Sprint(c)}
 		}
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -35,6 +35,12 @@
 	return c.Target == other.Target && c.StartedAt == other.StartedAt && (c.Run == other.Run || c.Run == 0 || other.Run == 0)
 }
 
+// isClearedBy reports whether the acquittal of a process covers a crash: that of the same run, or an
+// older copy that does not name its run.
+func (c Crash) isClearedBy(acquittal Crash) bool {
+	return c.Target == acquittal.Target && c.StartedAt == acquittal.StartedAt && (c.Run == acquittal.Run || c.Run == 0)
+}
+
 const (
 	// maxCrashes is the number of confirmed crashes under a task at which its job is given up. The
 	// platform allows that from two crashes on.
@@ -48,6 +54,8 @@
 	crashRetention = time.Minute
 	// maxCrashEntries bounds the tasks in the ledger: those that run at 100 targets, twice over.
 	maxCrashEntries = 2000
+	// maxAcquittals bounds the acquittals that are kept of one task.
+	maxAcquittals = 8
 	// crashPruneInterval is the interval at which expired entries are removed.
 	crashPruneInterval = time.Second
 	// crashExportPeriod is how long a changed entry is sent with a holder's learned state. It
@@ -74,10 +82,12 @@
 	prunedAt              time.Time
 }
 
-// crashEntry lists the crashes under one task, one for each lost run.
+// crashEntry lists the crashes under one task, one for each lost run, and the acquittals: crashes
+// that were none, since the process has answered later. Copies of these may still arrive from other
+// hosts.
 type crashEntry struct {
-	crashes   []Crash
-	changedAt time.Time
+	crashes, acquittals []Crash
+	changedAt           time.Time
 }
 
 // entryOf returns the entry of a crash's task, which it creates if there is none.
@@ -98,9 +108,13 @@
 	return e
 }
 
-// add adds a crash, or adds what it tells to a known one. It reports whether the ledger has changed.
+// add adds a crash, or adds what it tells to a known one, unless the process was acquitted of it. It
+// reports whether the ledger has changed.
 func (l *crashLedger) add(c Crash, now time.Time) bool {
 	e := l.entryOf(c)
+	if slices.ContainsFunc(e.acquittals, c.isClearedBy) {
+		return false
+	}
 	i := slices.IndexFunc(e.crashes, c.isSame)
 	if i < 0 {
 		e.crashes, e.changedAt = append(e.crashes, c), now
@@ -130,16 +144,26 @@
 	}
 }
 
-// clear removes a crash that was none.
-func (l *crashLedger) clear(c Crash, now time.Time) {
-	key := taskKey{c.Job, c.Task}
-	e := l.entries[key]
-	e.crashes = slices.DeleteFunc(e.crashes, func(known Crash) bool { return known == c })
-	e.changedAt = now
-	l.countUnsettled(c, -1)
-	if len(e.crashes) == 0 {
-		l.remove(key)
+// acquit removes a crash that was none, and keeps the acquittal. It reports whether the ledger has
+// changed.
+func (l *crashLedger) acquit(c Crash, now time.Time) bool {
+	e := l.entryOf(c)
+	c.Confirmed, c.Replaced = false, false
+	if slices.Contains(e.acquittals, c) {
+		return false
+	}
+	e.acquittals, e.changedAt = append(e.acquittals, c), now
+	if len(e.acquittals) > maxAcquittals {
+		e.acquittals = slices.Delete(e.acquittals, 0, 1)
 	}
+	e.crashes = slices.DeleteFunc(e.crashes, func(known Crash) bool {
+		isCleared := known.isClearedBy(c)
+		if isCleared {
+			l.countUnsettled(known, -1)
+		}
+		return isCleared
+	})
+	return true
 }
 
 // remove removes the entry of a task.
@@ -210,23 +234,28 @@
 	return nil
 }
 
-// crashesOfJob returns the crashes under the tasks of a job.
-func (l *crashLedger) crashesOfJob(job string, count int) []Crash {
-	var list []Crash
+// reportOfJob returns the crashes and acquittals of the tasks of a job.
+func (l *crashLedger) reportOfJob(job string, count int) (crashes, acquittals []Crash) {
 	if l.jobEntries[job] == 0 {
-		return nil
+		return nil, nil
 	}
 	for i := range count {
-		list = append(list, l.crashesOf(job, i)...)
+		if e := l.entries[taskKey{job, i}]; e != nil {
+			crashes, acquittals = append(crashes, e.crashes...), append(acquittals, e.acquittals...)
+		}
 	}
-	return list[:min(len(list), maxSentCrashes)]
+	return limitReport(crashes, acquittals)
 }
 
-// recentCrashes returns the crashes of the entries that have changed since a time.
-func (l *crashLedger) recentCrashes(since time.Time) []Crash {
-	var list []Crash
+// recentReport returns the crashes and acquittals of the entries that have changed since a time.
+func (l *crashLedger) recentReport(since time.Time) (crashes, acquittals []Crash) {
 	for _, key := range l.keysOf(func(e *crashEntry) bool { return e.changedAt.After(since) }) {
-		list = append(list, l.entries[key].crashes...)
+		e := l.entries[key]
+		crashes, acquittals = append(crashes, e.crashes...), append(acquittals, e.acquittals...)
 	}
-	return list[:min(len(list), maxSentCrashes)]
+	return limitReport(crashes, acquittals)
+}
+
+func limitReport(crashes, acquittals []Crash) ([]Crash, []Crash) {
+	return crashes[:min(len(crashes), maxSentCrashes)], acquittals[:min(len(acquittals), maxSentCrashes)]
 }
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -385,7 +385,7 @@
 // not reach targets that answer here.
 func TestOtherHostsSuspicionIsChecked(t *testing.T) {
 	b := newCrashBed(t, 3)
-	b.router.mergeCrashes([]Crash{{Job: "x", Target: "p", StartedAt: bornAt}, {Job: "x", Target: "q", StartedAt: bornAt - 1}}, "")
+	b.router.mergeCrashes([]Crash{{Job: "x", Target: "p", StartedAt: bornAt}, {Job: "x", Target: "q", StartedAt: bornAt - 1}}, nil, "")
 	assert.Equal(t, []Crash{{Job: "x", Target: "q", StartedAt: bornAt - 1, Replaced: true}}, b.router.crashes.crashesOf("x", 0))
 }
 
@@ -395,7 +395,7 @@
 	b := newCrashBed(t, 3)
 	b.step(EvacuationsRead{RequestedAt: b.now, Evacuations: Evacuations{Version: 2, Zones: []string{"north"}}})
 	b.submit(longJob("y"))
-	b.router.mergeCrashes(confirmedCrashes("x"), "")
+	b.router.mergeCrashes(confirmedCrashes("x"), nil, "")
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 2)
 	assert.Equal(t, Refused, b.answers[0].Outcome)
@@ -412,7 +412,7 @@
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 1)
 	assert.Equal(t, Expired, b.answers[0].Reason)
-	b.router.mergeCrashes(confirmedCrashes("x"), "")
+	b.router.mergeCrashes(confirmedCrashes("x"), nil, "")
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 2)
 	assert.Equal(t, Crashes, b.answers[1].Reason)
--- a/internal/router/job.go
+++ b/internal/router/job.go
@@ -75,7 +75,7 @@
 	if p != nil {
 		origin = p.member
 	}
-	r.mergeCrashes(o.Crashes, origin.Address)
+	r.mergeCrashes(o.Crashes, o.Acquittals, origin.Address)
 	c := r.cells[cmp.Or(o.Zone, origin.Zone)]
 	// The offer may have been in transit since the connection was cut.
 	stale := p != nil && !(r.isReachable(p) && r.mayRunJobsOf(p))
--- a/internal/router/lost_run.go
+++ b/internal/router/lost_run.go
@@ -39,10 +39,17 @@
 	r.logCrash(action, c, source, pairs...)
 }
 
-// acquit removes a crash that was none.
-func (r *Router) acquit(c Crash) {
-	r.crashes.clear(c, r.now)
-	r.logCrash("acquit", c, "")
+// acquit records that a crash was none, and tells the host of the job's client if that is known.
+// source is the address of the host that has told it, or empty for this host.
+func (r *Router) acquit(c Crash, source string) {
+	if !r.crashes.acquit(c, r.now) {
+		return
+	}
+	if j := r.jobs[c.Job]; j != nil && source == "" {
+		progress := r.progressFor(j.origin)
+		progress.Acquittals = append(progress.Acquittals, c)
+	}
+	r.logCrash("acquit", c, source)
 	r.placementNeeded = true
 }
 
@@ -64,8 +71,11 @@
 	}, pairs...)})
 }
 
-// mergeCrashes adds crashes that the host with an address has recorded.
-func (r *Router) mergeCrashes(crashes []Crash, source string) {
+// mergeCrashes adds crashes and acquittals that the host with an address has recorded.
+func (r *Router) mergeCrashes(crashes, acquittals []Crash, source string) {
+	for _, c := range acquittals {
+		r.acquit(c, source)
+	}
 	for _, c := range crashes {
 		c.Confirmed = c.Confirmed && c.Run > 0
 		if t := r.targets[c.Target]; t != nil {
@@ -96,7 +106,7 @@
 				r.addCrash(c, "", "")
 				r.endJobOfCrashes(r.jobs[c.Job])
 			case c.StartedAt == startedAt && list != nil && !list.Partial && !list.hasRun(taskName(c.Job, c.Task), c.Run):
-				r.acquit(c)
+				r.acquit(c, "")
 			}
 		}
 	}
@@ -109,7 +119,7 @@
 	for _, key := range r.crashes.keysOf(func(e *crashEntry) bool { return slices.ContainsFunc(e.crashes, isOfProcess) }) {
 		for _, c := range slices.Clone(r.crashes.crashesOf(key.job, key.task)) {
 			if isOfProcess(c) {
-				r.acquit(c)
+				r.acquit(c, "")
 			}
 		}
 	}
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -104,6 +104,9 @@
 	// Crashes are the recent crashes of targets that a holder knows. They are sent together with
 	// the learned state; hosts of earlier versions neither send nor read them.
 	Crashes []Crash `cbor:"17,keyasint,omitempty"`
+	// Acquittals are recent crashes that were none. Hosts of earlier versions neither send nor read
+	// them, here and in offers and progress.
+	Acquittals []Crash `cbor:"28,keyasint,omitempty"`
 	// ReceiverIncarnation is the incarnation of the receiver as the sender knows it, if the sender
 	// has received heartbeats of a lower one. Most heartbeats leave it out.
 	ReceiverIncarnation int64 `cbor:"18,keyasint,omitempty"`
@@ -194,8 +197,9 @@
 	Zone string `cbor:"9,keyasint,omitempty"`
 	// Token is the token of the claim under which the job is offered.
 	Token uint64 `cbor:"10,keyasint,omitempty"`
-	// Crashes are the crashes of targets under tasks of the job.
-	Crashes []Crash `cbor:"11,keyasint,omitempty"`
+	// Crashes are the crashes of targets under tasks of the job, and Acquittals those that were none.
+	Crashes    []Crash `cbor:"11,keyasint,omitempty"`
+	Acquittals []Crash `cbor:"14,keyasint,omitempty"`
 	// Incarnation is the incarnation of the process that sent the offer; hosts of earlier versions
 	// leave it out.
 	Incarnation int64 `cbor:"12,keyasint,omitempty"`
@@ -288,6 +292,8 @@
 type Progress struct {
 	Tasks   []DoneTask `cbor:"1,keyasint"`
 	Crashes []Crash    `cbor:"2,keyasint,omitempty"`
+	// Acquittals are crashes that were none.
+	Acquittals []Crash `cbor:"3,keyasint,omitempty"`
 }
 
 // DoneTask identifies a task that is done.
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -179,7 +179,7 @@
 		heartbeat.Routes, heartbeat.Speeds = r.exportLearnedState()
 		targetSpeeds, speedSpread = r.profiler.Export(r.now, maxSentTargetSpeeds)
 		interferences = r.separator.Pairs(maxSentInterferences)
-		heartbeat.Crashes = r.crashes.recentCrashes(r.now.Add(-crashExportPeriod))
+		heartbeat.Crashes, heartbeat.Acquittals = r.crashes.recentReport(r.now.Add(-crashExportPeriod))
 	}
 	claims := r.knownClaims()
 	for _, p := range r.sortedPeers() {
--- a/internal/router/origin.go
+++ b/internal/router/origin.go
@@ -134,10 +134,11 @@
 // newOffer creates the offer of a request for a holder.
 func (r *Router) newOffer(q *request) *Offer {
 	q.offerCount++
+	crashes, acquittals := r.crashes.reportOfJob(q.job.ID, q.job.Count)
 	return &Offer{
 		Job: q.job, TimeLeft: q.deadline.Sub(r.now), Elapsed: r.now.Sub(q.arrivedAt),
 		Reoffered: len(q.previousZones) > 0, PreviousZones: q.previousZones, Done: q.doneTasks, RunBase: q.runBase, SubmissionID: q.arrivedAt.UnixNano(),
-		Zone: q.zone, Token: q.token, Crashes: r.crashes.crashesOfJob(q.job.ID, q.job.Count), Incarnation: r.Self.Incarnation,
+		Zone: q.zone, Token: q.token, Crashes: crashes, Acquittals: acquittals, Incarnation: r.Self.Incarnation,
 		ReachableZones: r.reachableZones(q),
 	}
 }
--- a/internal/router/peer.go
+++ b/internal/router/peer.go
@@ -205,7 +205,7 @@
 	}
 	r.importProfiles(p, heartbeat)
 	r.importInterferences(p, heartbeat)
-	r.mergeCrashes(heartbeat.Crashes, p.member.Address)
+	r.mergeCrashes(heartbeat.Crashes, heartbeat.Acquittals, p.member.Address)
 	if r.isReachable(p) {
 		r.handlePeerReachable(p)
 	}
--- a/internal/router/progress.go
+++ b/internal/router/progress.go
@@ -27,7 +27,7 @@
 // handleProgress records finished tasks of this host's requests, and crashes of targets that the
 // host with an address has recorded.
 func (r *Router) handleProgress(progress *Progress, source string) {
-	r.mergeCrashes(progress.Crashes, source)
+	r.mergeCrashes(progress.Crashes, progress.Acquittals, source)
 	for _, m := range progress.Tasks {
 		if q := r.requestsByJob[m.ID]; q != nil {
 			q.hasDoneTask = true
