platform: a renewal acknowledges ends only to the process that has listed them

What callers saw: nothing yet; found by a test on a target that restarts at its address. Its next process numbers its ends from 1 again. A renewal that the transport sends over a new connection acknowledged ends of the former process to it, so that it forgot ends that nobody had read. A done task among them would run again.

Cause: a renewal may reach any process, and carried the number of the former one.

Change: a renewal names its process, as a start does.

--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -77,7 +77,9 @@
 // RenewAnswered.
 type Renew struct {
 	Target Target
-	Token  uint64
+	// Process is the process whose ends are acknowledged. Another one numbers its ends anew.
+	Process Process
+	Token   uint64
 	// Acked is the number of the newest end that this host has processed; the target
 	// need not list ends up to it again.
 	Acked int
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -334,7 +334,7 @@
 	leaseEnd, timeout := r.extendLeases(t, max(r.leaseDuration(t), 0)), r.startTimeout(n)
 	n.recordAttempt(r.now, leaseEnd)
 	r.emit(Start{
-		Target: t.Target, Process: Process{StartedAt: t.listedProcess, ConfirmedAt: t.lastConfirmedAt}, Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
+		Target: t.Target, Process: t.process(), Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
 		LeaseEnd: leaseEnd, Timeout: timeout,
 	})
 }
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -373,7 +373,7 @@
 		leaseEnd = r.extendLeases(t, lease)
 	}
 	r.emit(Renew{
-		Target: t.Target, Token: t.token, Acked: t.lastAckedEnd, LeaseEnd: leaseEnd,
+		Target: t.Target, Process: t.process(), Token: t.token, Acked: t.lastAckedEnd, LeaseEnd: leaseEnd,
 		Wait: wait, Timeout: wait + r.renewTimeout(), Poll: poll,
 	})
 }
