router: a restarted target is recognised by its lists, however often its entry was read

What callers saw: nothing yet; found by a test. After a restart of a target the end of a done task was neither read nor listed again, so that the task would run again.

Cause: each read of a changed list of targets raises the known start time of the process to that of the entry before. The second read after a restart, which is usual when a zone restarts, made it that of the new process before the first list of that process arrived. The list then counted as one of the same process: the number of the last end stayed that of the former process, and the first ends of the new one were skipped and acknowledged.

Change: a list is compared with the process that has sent the list before, if that is known.

Result: TestRenewalAcknowledgesEndsOfListedProcess passes ("expected: 1, actual: 5" before, the end was not read); the tests of the package pass.

--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 // handleRunList handles a successful answer to a renewal, which lists the target's running
 // tasks and the ends of others.
 func (r *Router) handleRunList(t *target, e RenewAnswered) {
-	if e.StartedAt > 0 && t.incarnation > 0 && e.StartedAt != t.incarnation {
+	if known := cmp.Or(t.listedProcess, t.incarnation); e.StartedAt > 0 && known > 0 && e.StartedAt != known {
 		if e.SentAt.Before(t.lastConfirmedAt) {
 			r.logTarget(t, "outdated", "born", e.StartedAt)
 			return // it may be from the former process; the next list will tell
