router: a start without an answer is stopped at the target's next process

What callers saw: nothing yet; found by a test. A target may execute an order seconds after it was left unanswered, and the platform says that the target's next process does so too. That one knows of no Stop and no token, so that it starts a run whose task goes on elsewhere or whose job has ended. The holder learned of it from the next list only.

Cause: what a holder knew of an unanswered start ended with the run, also if only the first of two starts went unanswered.

The first list of a later process is answered by a Stop of each such run that it does not have, which is repeated until it is answered: a target rejects a run that is not higher than one stopped there. Without a restart nothing is sent.

--- a/internal/modeler/host.go
+++ b/internal/modeler/host.go
@@ -250,7 +250,7 @@
 		h.sendLimited(func(end func()) {
 			sim.sendOrder(h, e.Target, e.Timeout, func(t *target) orderHandler { return t.handleStop(e) }, func(result router.StartResult, _ router.Reading) router.Event {
 				end()
-				return router.StopAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Acknowledged: result == router.Running}
+				return router.StopAnswered{Target: e.Target.ID, Process: e.Process, Task: e.Task, Run: e.Run, Acknowledged: result == router.Running}
 			})
 		})
 	case router.Renew:
--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -66,7 +66,10 @@
 
 // Stop orders a target to stop a run. It is answered by one StopAnswered.
 type Stop struct {
-	Target  Target
+	Target Target
+	// Process is the start time of the process that was known when the order was sent, in Unix
+	// milliseconds; 0 if none was. No earlier one gets the order.
+	Process int64
 	Token   uint64
 	Task    string
 	Run     int
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -149,7 +149,9 @@
 // StopAnswered is the answer to a Stop. Acknowledged is true if the target accepted the
 // order.
 type StopAnswered struct {
-	Target       string
+	Target string
+	// Process is copied from the order.
+	Process      int64
 	Task         string
 	Run          int
 	Acknowledged bool
--- a/internal/router/later_process_test.go
+++ b/internal/router/later_process_test.go
@@ -32,3 +32,112 @@
 	b.step(Submit{Request: 1, Job: twoTaskJob("j"), Budget: 5 * time.Second})
 	assert.Equal(t, 1, b.router.jobs["j"].doneCount, "the end of the later process is read")
 }
+
+// listProcess answers a renewal of a target with the run list of a process.
+func (b *holderBed) listProcess(id string, process int64, running ...RunningTask) []Effect {
+	b.now = b.now.Add(time.Millisecond)
+	return b.step(RenewAnswered{Target: id, Token: b.router.targets[id].token, SentAt: b.now, Result: Running, StartedAt: process, Running: running})
+}
+
+// answerStart answers a Start.
+func (b *holderBed) answerStart(e Start, result StartResult) []Effect {
+	b.now = b.now.Add(time.Millisecond)
+	return b.step(StartAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Result: result})
+}
+
+// acknowledge answers a Stop.
+func (b *holderBed) acknowledge(e Stop) []Effect {
+	b.now = b.now.Add(time.Millisecond)
+	return b.step(StopAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Process: e.Process, Acknowledged: true})
+}
+
+// stopsOf returns the Stop orders for a task among effects.
+func stopsOf(effects []Effect, task string) (list []Stop) {
+	for _, e := range effectsOf[Stop](effects) {
+		if e.Task == task {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// startUnanswered submits a job whose first Start is not answered. It returns the Start that repeats it.
+func (b *holderBed) startUnanswered(id string) Start {
+	b.t.Helper()
+	first, effects := b.startTask(id, NoAnswer)
+	repeats := effectsOf[Start](effects)
+	require.Len(b.t, repeats, 1)
+	require.Equal(b.t, first.Run, repeats[0].Run)
+	return repeats[0]
+}
+
+// TestLateStartIsStoppedAtNextProcess guards against a run that the next process of a target starts, since a Start of
+// it was not answered in time, after the run and its job are over.
+func TestLateStartIsStoppedAtNextProcess(t *testing.T) {
+	for name, end := range map[string]func(b *holderBed, start Start){
+		"the repeated start was answered": func(b *holderBed, start Start) {
+			b.answerStart(start, Running)
+			b.now = b.now.Add(time.Millisecond)
+			b.step(RenewAnswered{Target: start.Target.ID, Token: start.Token, SentAt: b.now, Result: Running, StartedAt: 1, Ended: []End{{Number: 1, Task: start.Task, Run: start.Run, Reason: EndDone}}})
+			require.True(b.t, b.router.jobs["j"].ended)
+		},
+		"no start was answered": func(b *holderBed, start Start) {
+			b.step(ClientGone{Request: 1})
+			stops := effectsOf[Stop](b.answerStart(start, NoAnswer))
+			require.Len(b.t, stops, 1)
+			b.acknowledge(stops[0])
+			b.listProcess(start.Target.ID, 1)
+		},
+		"the target falls silent before the answer": func(b *holderBed, start Start) {
+			b.router.expireRuns(b.router.targets[start.Target.ID])
+			b.answerStart(start, NoAnswer)
+		},
+		"the target is forgotten": func(b *holderBed, start Start) {
+			former := b.router.targets[start.Target.ID]
+			b.router.expireRuns(former)
+			b.router.removeTarget(former)
+			b.router.registerTarget(former.Target, b.router.cells["north"])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newProcessBed(t)
+			start := b.startUnanswered("j")
+			end(b, start)
+			id := start.Target.ID
+			require.Empty(t, b.router.targets[id].runs)
+			if name != "the target is forgotten" {
+				assert.Empty(t, stopsOf(b.listProcess(id, 1), start.Task), "its process has had the start")
+			}
+			stops := stopsOf(b.listProcess(id, 2), start.Task)
+			require.Len(t, stops, 1)
+			assert.Equal(t, start.Run, stops[0].Run)
+			assert.Len(t, stopsOf(b.advance(stopRetryInterval), start.Task), 0)
+			stops = stopsOf(b.listProcess(id, 2), start.Task)
+			require.Len(t, stops, 1, "until it is answered")
+			b.acknowledge(stops[0])
+			b.now = b.now.Add(stopRetryInterval)
+			assert.Empty(t, stopsOf(b.listProcess(id, 2), start.Task))
+			assert.Len(t, stopsOf(b.listProcess(id, 3), start.Task), 1)
+			b.now = b.now.Add(lateStartDuration)
+			assert.Empty(t, stopsOf(b.listProcess(id, 4), start.Task), "no start is as late")
+		})
+	}
+}
+
+// TestAnsweredStartIsNotStoppedAtNextProcess guards against orders that nothing calls for, and against the stop of a
+// run that the next process has.
+func TestAnsweredStartIsNotStoppedAtNextProcess(t *testing.T) {
+	b := newProcessBed(t)
+	answered, _ := b.startTask("answered", Running)
+	assert.Empty(t, stopsOf(b.listProcess(answered.Target.ID, 2), answered.Task))
+
+	b = newProcessBed(t)
+	repeated := b.startUnanswered("j")
+	b.answerStart(repeated, Running)
+	id, run := repeated.Target.ID, RunningTask{Task: repeated.Task, Run: repeated.Run}
+	for range 3 {
+		assert.Empty(t, stopsOf(b.listProcess(id, 2, run), repeated.Task), "the next process has started it")
+	}
+	require.NotNil(t, b.router.targets[id].runs[repeated.Task])
+	assert.NotEmpty(t, effectsOf[Start](b.listProcess(id, 2)), "it is over, and nothing of it can start there")
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -88,9 +88,11 @@
 	if !e.Partial {
 		r.endUnlistedRuns(t, e)
 	}
+	r.stopLateStarts(t, e)
 	for _, entry := range e.Running {
 		if n := t.runs[entry.Task]; n != nil && n.number >= entry.Run {
 			if n.number == entry.Run {
+				n.moveTo(e.StartedAt, e.Clock)
 				r.handleRunProgress(n, entry.Percent)
 			}
 			continue
@@ -140,7 +142,7 @@
 		return false
 	}
 	k := &j.tasks[index]
-	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation}
+	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation, startedFor: t.listedProcess}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	r.transitionTask(j, index, taskStart)
 	k.run, j.mayHaveStarted = n, true
@@ -173,7 +175,7 @@
 
 func (r *Router) stopOrphan(t *target, task string, number int) {
 	r.emit(Decision{Action: "stop", Task: task, Target: t.ID, Pairs: []any{"run", number, "reason", "nobody waits for it"}})
-	r.emit(Stop{Target: t.Target, Token: t.token, Task: task, Run: number, Timeout: r.Bounds.OrderTimeout})
+	r.emit(Stop{Target: t.Target, Process: t.listedProcess, Token: t.token, Task: task, Run: number, Timeout: r.Bounds.OrderTimeout})
 }
 
 // handleStartAnswered handles the answer to a Start order, or its absence.
@@ -188,6 +190,9 @@
 		return
 	}
 	r.recordStart(n, e.Result, e.Took)
+	if e.Result == NoAnswer {
+		r.lateStarts.add(n, r.now)
+	}
 	if e.Result != Running {
 		r.logFailedStart(n, e)
 	}
@@ -291,7 +296,7 @@
 	if !n.stopAcknowledged {
 		n.confirmedAt = time.Time{}
 	}
-	stop := Stop{Target: n.target.Target, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.stopTimeout()}
+	stop := Stop{Target: n.target.Target, Process: n.target.listedProcess, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.stopTimeout()}
 	r.answersOf(n.target).lastStop = stop
 	r.emit(stop)
 }
@@ -304,6 +309,9 @@
 		return
 	}
 	r.recordOrder(t, e.Acknowledged)
+	if e.Acknowledged {
+		r.lateStarts.confirmStop(e)
+	}
 	n := t.runs[e.Task]
 	if n == nil || n.number != e.Run {
 		return
@@ -376,6 +384,9 @@
 // endRun handles the end of a run: it frees the capacity, updates the target's health and the
 // learned state, and completes or requeues the task.
 func (r *Router) endRun(n *run, reason EndReason) {
+	if n.state == runStarting {
+		r.lateStarts.add(n, r.now)
+	}
 	r.releaseCapacity(n)
 	j := n.job
 	if n.state != runUnconfirmed && !j.ended {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -333,6 +333,7 @@
 	r.startRate.add(r.now)
 	leaseEnd, timeout := r.extendLeases(t, max(r.leaseDuration(t), 0)), r.startTimeout(n)
 	n.recordAttempt(r.now, leaseEnd)
+	n.startedFor = t.listedProcess
 	r.emit(Start{
 		Target: t.Target, Process: t.process(), Token: t.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Spec: n.job.spec.Spec,
 		LeaseEnd: leaseEnd, Timeout: timeout,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -82,6 +82,7 @@
 	unreported          map[string]*Progress     // progress that is not reported yet, by address of the job's host
 	crashes             crashLedger              // targets that crashed under tasks
 	orders              orderAnswers             // which orders targets answer
+	lateStarts          lateStarts               // Start orders without an answer
 	remoteRuns          remoteRuns               // runs of unstopped jobs at other holders
 	routeModels         map[string]*history      // by route
 	kindSpeeds          map[string]*KindSpeed    // by kind of target
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -115,6 +115,9 @@
 	cold bool
 	// process is the start time of the target's process when the run started; 0 if unknown.
 	process int64
+	// startedFor is the start time of the process that the newest Start was for, or that has listed the run; 0 if
+	// unknown.
+	startedFor int64
 	// suspect is set if a target had crashed under the task before this run.
 	suspect bool
 	// companions are the routes of the tasks that ran beside it.
@@ -440,6 +443,7 @@
 	r.reportUnlistedTargets()
 	r.expirePreviousTargets()
 	r.logOrderAnswers()
+	r.lateStarts.prune(r.now)
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
 		if r.now.After(t.runsExpireAt) && len(t.runs) > 0 {
