router: a run with an unanswered start is not over at a restart before its Stop is answered

What callers saw: nothing yet; found by a test. The first of two starts of a run got no answer, the second one did; the target started again, the list of its next process lacked the run, and the task started elsewhere. Then the next process executed the first start: two runs of the task.

Cause: an answer of the former process, to the second start or to a Stop, made a list of the next one count as proof that the run was over. An answer to a Stop told nothing of the process that gave it.

Change: such a run is over once the process that lists the runs has answered a Stop of it, or its lease is over. A Stop carries the process that was known when it was sent, and only an answer to one that was sent since the restart counts. Runs all of whose starts were answered are over with the first list, as before. The comparison of the lease end with the new clock stays: the process that lists the runs compares in the same way, and rejects the start.

--- a/internal/router/late_start.go
+++ b/internal/router/late_start.go
@@ -132,6 +132,13 @@
 	}
 }
 
+// mayStartLate reports whether the present process of a run's target may still start the run, since a former one has
+// left a Start of it unanswered.
+func (r *Router) mayStartLate(n *run) bool {
+	s := r.lateStarts.get(n.target, taskName(n.job.spec.ID, n.task), r.now)
+	return s != nil && s.run == n.number
+}
+
 // moveTo records that a process of the run's target lists it. It may be a later one than its Start was answered by.
 func (n *run) moveTo(process int64, clock Reading) {
 	if process == 0 || n.startedFor == process {
--- a/internal/router/later_process_test.go
+++ b/internal/router/later_process_test.go
@@ -141,3 +141,35 @@
 	require.NotNil(t, b.router.targets[id].runs[repeated.Task])
 	assert.NotEmpty(t, effectsOf[Start](b.listProcess(id, 2)), "it is over, and nothing of it can start there")
 }
+
+// TestRunWithLateStartIsNotOverAtRestart guards against a task that starts elsewhere while the next process of its target
+// may execute a Start of it that was not answered: the former process has answered the second one, or a Stop.
+func TestRunWithLateStartIsNotOverAtRestart(t *testing.T) {
+	for name, answer := range map[string]func(b *holderBed, start Start){
+		"answered start": func(b *holderBed, start Start) { b.answerStart(start, Running) },
+		"answered stop": func(b *holderBed, start Start) {
+			stops := effectsOf[Stop](b.answerStart(start, NoAnswer))
+			require.Len(b.t, stops, 1)
+			b.acknowledge(stops[0])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newProcessBed(t)
+			start := b.startUnanswered("j")
+			answer(b, start)
+			b.now = b.now.Add(time.Millisecond)
+			effects := b.listProcess(start.Target.ID, 2)
+			assert.Empty(t, effectsOf[Start](effects))
+			stops := stopsOf(effects, start.Task)
+			require.Len(t, stops, 1)
+			former := stops[0]
+			former.Process = 1
+			b.acknowledge(former)
+			assert.Empty(t, effectsOf[Start](b.listProcess(start.Target.ID, 2)), "the former process has answered")
+			b.acknowledge(stops[0])
+			starts := effectsOf[Start](b.listProcess(start.Target.ID, 2))
+			require.Len(t, starts, 1)
+			assert.Greater(t, starts[0].Run, start.Run)
+		})
+	}
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -109,7 +109,7 @@
 	}
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
-		if _, isListed := listed[name]; !isListed && (!n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) || n.hasLapsedUnstarted(e.Clock)) {
+		if _, isListed := listed[name]; !isListed && (!n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) && !r.mayStartLate(n) || n.hasLapsedUnstarted(e.Clock)) {
 			if n.process < t.incarnation {
 				r.recordLostRun(n, false)
 			}
@@ -316,6 +316,9 @@
 	if n == nil || n.number != e.Run {
 		return
 	}
+	if e.Acknowledged && e.Process > 0 && e.Process != t.listedProcess {
+		return // a former process may have answered; retryStops asks this one
+	}
 	if !e.Acknowledged {
 		r.setStopOverdue(n, !n.stopAcknowledged)
 		r.repeatStop(n)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -243,6 +243,9 @@
 	t.incarnation, t.lastAckedEnd, t.lastReading, t.runListClock = startedAt, 0, Reading{}, 0
 	t.orphanRunNumbers, t.unmatchedEnds = make(map[string]int), make(map[string]End)
 	t.failures, t.slowdownSum, t.ejectedUntil = 0, 0, time.Time{}
+	for _, n := range t.runs {
+		n.stopAcknowledged = false
+	}
 	r.forgetAnswers(t)
 	r.pollTarget(t) // this run list may lack runs whose Start was answered after it was requested
 }
