router: a run that is known to be over is stopped as soon as it is listed

What callers saw: nothing yet; found by a test. A target that has fallen silent starts again and executes an order for its former process.

Cause: the grace began with the first list, whatever the holder knew of the run.

Change: a listed run whose job has ended here, whose task is done or has a higher run, or of which a late start is kept, is ordered to stop at once. A job that ended because its cell had another holder is excepted, since that one may have adopted the run.

--- a/internal/router/late_start.go
+++ b/internal/router/late_start.go
@@ -149,3 +149,21 @@
 	}
 	n.startedFor = process
 }
+
+// isOver reports whether a run that a target lists, but that is not known there, is known to be over or replaced: its job has
+// ended here, or its task is done or has a later run.
+func (r *Router) isOver(t *target, name string, number int) bool {
+	if s := r.lateStarts.byTarget[t.ID][name]; s != nil && s.run >= number && s.token >= t.token {
+		return true
+	}
+	id, index, ok := parseTaskName(name)
+	j := r.jobs[id]
+	if !ok || j == nil || index >= len(j.tasks) {
+		return false
+	}
+	if j.ended {
+		return j.verdict.Outcome != WrongHolder && j.verdict.Outcome != Returned // its next holder may have adopted the run
+	}
+	k := &j.tasks[index]
+	return k.state == taskDone || k.run != nil && k.run.number > number
+}
--- a/internal/router/later_process_test.go
+++ b/internal/router/later_process_test.go
@@ -173,3 +173,21 @@
 		})
 	}
 }
+
+// TestRunOfLostProcessIsStoppedAtOnce guards against a run that goes on for the grace of orphans beside the next one of
+// its task: the next process of its target has started it, and this host knows that it is over.
+func TestRunOfLostProcessIsStoppedAtOnce(t *testing.T) {
+	b := newProcessBed(t)
+	start, _ := b.startTask("j", Running)
+	target := b.router.targets[start.Target.ID]
+	target.missedRenewals = 1
+	b.router.expireRuns(target)
+	b.step(Tick{})
+	next := b.router.jobs["j"].tasks[0].run
+	require.NotNil(t, next)
+	require.Greater(t, next.number, start.Run)
+	effects := b.listProcess(start.Target.ID, 2, RunningTask{Task: start.Task, Run: start.Run}, RunningTask{Task: "x.0.0.0", Run: 1})
+	assert.Len(t, stopsOf(effects, start.Task), 1)
+	assert.Empty(t, stopsOf(effects, "x.0.0.0"), "its job may yet be offered")
+	assert.Len(t, stopsOf(b.advance(b.router.Bounds.OrphanGrace+b.router.Bounds.TickInterval), "x.0.0.0"), 1)
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -160,13 +160,19 @@
 	return Resources{CPU: r.CPU + part.CPU, Memory: r.Memory + part.Memory, GPU: r.GPU + part.GPU}
 }
 
-// stopOrphans stops runs that no job has claimed within the grace period.
+// stopOrphans stops runs that no job has claimed within the grace period, and at once those that are known to be over.
 func (r *Router) stopOrphans(t *target) {
-	if len(t.orphanRunNumbers) == 0 || r.now.Sub(t.fencedAt) < r.Bounds.OrphanGrace || r.now.Sub(t.orphansStoppedAt) < stopRetryInterval {
+	if len(t.orphanRunNumbers) == 0 || r.now.Sub(t.orphansStoppedAt) < stopRetryInterval {
 		return
 	}
-	t.orphansStoppedAt = r.now
 	names := sortedKeys(t.orphanRunNumbers)
+	if r.now.Sub(t.fencedAt) < r.Bounds.OrphanGrace {
+		names = slices.DeleteFunc(names, func(name string) bool { return !r.isOver(t, name, t.orphanRunNumbers[name]) })
+	}
+	if len(names) == 0 {
+		return
+	}
+	t.orphansStoppedAt = r.now
 	for _, name := range names[:min(len(names), maxOrphanStops)] {
 		r.stopOrphan(t, name, t.orphanRunNumbers[name])
 	}
