--- a/internal/router/effect.go
+++ b/internal/router/effect.go
@@ -66,7 +66,10 @@
 
 // Stop orders a target to stop a run. It is answered by one StopAnswered.
 type Stop struct {
-	Target  Target
+	Target Target
+	// Process is the start time of the process that was known when the order was sent, in Unix
+	// milliseconds; 0 if none was. No earlier one gets the order.
+	Process int64
 	Token   uint64
 	Task    string
 	Run     int
@@ -77,7 +80,9 @@
 // RenewAnswered.
 type Renew struct {
 	Target Target
-	Token  uint64
+	// Process is the process whose ends are acknowledged. Another one numbers its ends anew.
+	Process Process
+	Token   uint64
 	// Acked is the number of the newest end that this host has processed; the target
 	// need not list ends up to it again.
 	Acked int
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,7 +9,7 @@
 // handleRunList handles a successful answer to a renewal, which lists the target's running
 // tasks and the ends of others.
 func (r *Router) handleRunList(t *target, e RenewAnswered) {
-	if e.StartedAt > 0 && t.incarnation > 0 && e.StartedAt != t.incarnation {
+	if known := cmp.Or(t.listedProcess, t.incarnation); e.StartedAt > 0 && known > 0 && e.StartedAt != known {
 		if e.SentAt.Before(t.lastConfirmedAt) {
 			r.logTarget(t, "outdated", "born", e.StartedAt)
 			return // it may be from the former process; the next list will tell
@@ -92,9 +93,11 @@
 	if !e.Partial {
 		r.endUnlistedRuns(t, e)
 	}
+	r.stopLateStarts(t, e)
 	for _, entry := range e.Running {
 		if n := t.runs[entry.Task]; n != nil && n.number >= entry.Run {
 			if n.number == entry.Run {
+				n.moveTo(e.StartedAt, e.Clock)
 				r.handleRunProgress(n, entry.Percent)
 			}
 			continue
@@ -111,7 +114,7 @@
 	}
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
-		if _, isListed := listed[name]; !isListed && (!n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) || n.hasLapsedUnstarted(e.Clock)) {
+		if _, isListed := listed[name]; !isListed && (!n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) && !r.mayStartLate(n) || n.hasLapsedUnstarted(e.Clock)) {
 			if n.process < t.incarnation {
 				r.recordLostRun(n, false)
 			}
@@ -144,7 +147,7 @@
 		return false
 	}
 	k := &j.tasks[index]
-	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation}
+	n := &run{job: j, task: index, number: entry.Run, target: t, need: j.spec.Need, state: runRunning, sentAt: r.now, confirmedAt: r.now, startClock: t.runListClock, expectedRunTime: r.expectedRunTimeAt(j, t), adopted: true, process: t.incarnation, startedFor: t.listedProcess}
 	n.nextPollAt = n.nextPollTime(r.now, firstPollFraction)
 	r.transitionTask(j, index, taskStart)
 	k.run, j.mayHaveStarted = n, true
@@ -162,13 +165,19 @@
 	return Resources{CPU: r.CPU + part.CPU, Memory: r.Memory + part.Memory, GPU: r.GPU + part.GPU}
 }
 
-// stopOrphans stops runs that no job has claimed within the grace period.
+// stopOrphans stops runs that no job has claimed within the grace period, and at once those that are known to be over.
 func (r *Router) stopOrphans(t *target) {
-	if len(t.orphanRunNumbers) == 0 || r.now.Sub(t.fencedAt) < r.Bounds.OrphanGrace || r.now.Sub(t.orphansStoppedAt) < stopRetryInterval {
+	if len(t.orphanRunNumbers) == 0 || r.now.Sub(t.orphansStoppedAt) < stopRetryInterval {
 		return
 	}
-	t.orphansStoppedAt = r.now
 	names := sortedKeys(t.orphanRunNumbers)
+	if r.now.Sub(t.fencedAt) < r.Bounds.OrphanGrace {
+		names = slices.DeleteFunc(names, func(name string) bool { return !r.isOver(t, name, t.orphanRunNumbers[name]) })
+	}
+	if len(names) == 0 {
+		return
+	}
+	t.orphansStoppedAt = r.now
 	for _, name := range names[:min(len(names), maxOrphanStops)] {
 		r.stopOrphan(t, name, t.orphanRunNumbers[name])
 	}
@@ -177,7 +186,7 @@
 
 func (r *Router) stopOrphan(t *target, task string, number int) {
 	r.emit(Decision{Action: "stop", Task: task, Target: t.ID, Pairs: []any{"run", number, "reason", "nobody waits for it"}})
-	r.emit(Stop{Target: t.Target, Token: t.token, Task: task, Run: number, Timeout: r.Bounds.OrderTimeout})
+	r.emit(Stop{Target: t.Target, Process: t.listedProcess, Token: t.token, Task: task, Run: number, Timeout: r.Bounds.OrderTimeout})
 }
 
 // handleStartAnswered handles the answer to a Start order, or its absence.
@@ -192,6 +201,9 @@
 		return
 	}
 	r.recordStart(n, e.Result, e.Took)
+	if e.Result == NoAnswer {
+		r.lateStarts.add(n, r.now)
+	}
 	if e.Result != Running {
 		r.logFailedStart(n, e)
 	}
@@ -298,7 +310,7 @@
 	if !n.stopAcknowledged {
 		n.confirmedAt = time.Time{}
 	}
-	stop := Stop{Target: n.target.Target, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.stopTimeout()}
+	stop := Stop{Target: n.target.Target, Process: n.target.listedProcess, Token: n.target.token, Task: taskName(n.job.spec.ID, n.task), Run: n.number, Timeout: r.stopTimeout()}
 	r.answersOf(n.target).lastStop = stop
 	r.emit(stop)
 }
@@ -311,10 +323,16 @@
 		return
 	}
 	r.recordOrder(t, e.Acknowledged)
+	if e.Acknowledged {
+		r.lateStarts.confirmStop(e)
+	}
 	n := t.runs[e.Task]
 	if n == nil || n.number != e.Run {
 		return
 	}
+	if e.Acknowledged && e.Process > 0 && e.Process != t.listedProcess {
+		return // a former process may have answered; retryStops asks this one
+	}
 	if !e.Acknowledged {
 		r.setStopOverdue(n, !n.stopAcknowledged)
 		r.repeatStop(n)
@@ -383,6 +401,9 @@
 // endRun handles the end of a run: it frees the capacity, updates the target's health and the
 // learned state, and completes or requeues the task.
 func (r *Router) endRun(n *run, reason EndReason) {
+	if n.state == runStarting {
+		r.lateStarts.add(n, r.now)
+	}
 	r.releaseCapacity(n)
 	j := n.job
 	if n.state != runUnconfirmed && !j.ended {
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -121,6 +121,9 @@
 	cold bool
 	// process is the start time of the target's process when the run started; 0 if unknown.
 	process int64
+	// startedFor is the start time of the process that the newest Start was for, or that has listed the run; 0 if
+	// unknown.
+	startedFor int64
 	// suspect is set if a target had crashed under the task before this run.
 	suspect bool
 	// companions are the routes of the tasks that ran beside it.
@@ -248,6 +251,9 @@
 	t.incarnation, t.lastAckedEnd, t.lastReading, t.runListClock = startedAt, 0, Reading{}, 0
 	t.orphanRunNumbers, t.unmatchedEnds = make(map[string]int), make(map[string]End)
 	t.failures, t.slowdownSum, t.ejectedUntil = 0, 0, time.Time{}
+	for _, n := range t.runs {
+		n.stopAcknowledged = false
+	}
 	r.forgetAnswers(t)
 	r.pollTarget(t) // this run list may lack runs whose Start was answered after it was requested
 }
@@ -352,7 +358,7 @@
 		leaseEnd = r.extendLeases(t, lease)
 	}
 	r.emit(Renew{
-		Target: t.Target, Token: t.token, Acked: t.lastAckedEnd, LeaseEnd: leaseEnd,
+		Target: t.Target, Process: t.process(), Token: t.token, Acked: t.lastAckedEnd, LeaseEnd: leaseEnd,
 		Wait: wait, Timeout: wait + r.renewTimeout(), Poll: poll,
 	})
 }
@@ -445,6 +451,7 @@
 	r.reportUnlistedTargets()
 	r.expirePreviousTargets()
 	r.logOrderAnswers()
+	r.lateStarts.prune(r.now)
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
 		if r.now.After(t.runsExpireAt) && len(t.runs) > 0 {
