router: a job that may have started does not fail because it fits no target

No task had failed.

Cause: whether a job fits any target was decided before whether it had been offered to another holder. What a host knows of the largest capacities is its own, and short. Class: a verdict from what one host happens to know.

Change: for such a job nothing but crashes leads to a verdict on arrival; it waits, and its run is taken over. TestStartedJobDoesNotFailAsMisfit failed before with the verdict "failed, misfit". Jobs that are new are answered as before.

--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -51,24 +51,23 @@
 // admit decides whether a job is accepted. It returns true with the verdict if the job is
 // refused: because targets have crashed under one of its tasks, because its tasks fit no target,
 // now or at its largest capacity, because it needs more memory than Bounds.JobMemory leaves, or
-// because it cannot finish in time behind the jobs that are placed before it. A job that may have
-// started or was offered to another holder before is not refused for its wait, its memory or a
-// capacity that may grow. For the other jobs, admit also records the demand of the route and
-// charges an accepted job to the route's budget.
+// because it cannot finish in time behind the jobs that are placed before it. Only crashes count
+// against a job that may have started or was offered to another holder before; this host may also
+// know fewer targets than that one. For the other jobs, admit also records the demand of the route
+// and charges an accepted job to the route's budget.
 func (r *Router) admit(j *job) (Verdict, bool) {
 	v := Verdict{ID: j.spec.ID, Outcome: Refused}
 	if v, isOver := r.crashVerdict(j); isOver {
 		v.ID = j.spec.ID
 		return v, true
 	}
-	if r.bestFit(&j.spec) == fitsNowhere {
-		v.Outcome, v.Reason = Failed, DoesNotFit
-		if r.zoneOf(j.origin) != j.zone { // it may fit targets of its own zone
-			v.Outcome, v.RetryAfter = Refused, maxRetryAfter
-		}
+	if j.mayHaveStarted || j.reoffered {
+		return v, false
+	}
+	if v, refused := r.refuseMisfit(j); refused {
 		return v, true
 	}
-	if j.mayHaveStarted || j.reoffered || r.Policy.Admission == AdmitAll {
+	if r.Policy.Admission == AdmitAll {
 		return v, false
 	}
 	if v, refused := r.refuseUnplaceable(j); refused {
@@ -109,6 +108,17 @@
 	return v, false
 }
 
+// refuseMisfit refuses a job whose tasks fit no target.
+func (r *Router) refuseMisfit(j *job) (Verdict, bool) {
+	if r.bestFit(&j.spec) != fitsNowhere {
+		return Verdict{}, false
+	}
+	if r.zoneOf(j.origin) != j.zone { // it may fit targets of its own zone
+		return Verdict{ID: j.spec.ID, Outcome: Refused, Reason: DoesNotFit, RetryAfter: maxRetryAfter}, true
+	}
+	return Verdict{ID: j.spec.ID, Outcome: Failed, Reason: DoesNotFit}, true
+}
+
 // admissionBound returns the latest start at which a job is admitted: the latest for an
 // answer within its latency objective or, for a job that is late already, the latest for an
 // answer that is still of use.
--- a/internal/router/capacity_test.go
+++ b/internal/router/capacity_test.go
@@ -201,3 +201,25 @@
 		})
 	}
 }
+
+// TestStartedJobDoesNotFailAsMisfit guards against a started job that fails because its next holder knows only
+// targets that it does not fit.
+func TestStartedJobDoesNotFailAsMisfit(t *testing.T) {
+	const address = "10.0.0.9:1"
+	b := newCrashBed(t, 3)
+	b.receiveHeartbeatFrom(address)
+	j := longJob("x")
+	j.Need.CPU = 2500 // more than any target has now
+	b.running["p"]["x.0.0.0"] = 1
+	b.settle(b.step(Receive{From: address, Message: Message{Offer: &Offer{
+		Job: j, TimeLeft: 9 * time.Second, SubmissionID: 7, Reoffered: true, PreviousZones: []string{"north"}, RunBase: 16, Token: b.router.cells["north"].claim.Token,
+	}}}))
+	for range 10 {
+		b.run(100 * time.Millisecond)
+		b.receiveHeartbeatFrom(address)
+	}
+	for _, m := range b.sent {
+		assert.Nil(t, m.Verdict)
+	}
+	assert.True(t, b.router.jobs["x"].tasks[0].run.isLive())
+}
