router: a Start that is not understood is no attempt of its task

Cause: the answer was handled like the end of a run.

Change: the start is undone, the target avoided and its health counted as before; after as many such answers the job ends as one that cannot end in time (504). TestStartThatIsNotUnderstoodIsNoAttempt failed before with "exhausted".

--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -221,8 +221,6 @@
 		r.retryStart(n)
 	case e.Result == NoAnswer || n.retried:
 		r.markUnconfirmed(n, e.Result)
-	case e.Result == Invalid:
-		r.endRun(n, EndFailed)
 	default:
 		r.handleRejectedStart(t, n, e.Result)
 	}
@@ -279,6 +277,8 @@
 	}
 	r.undoStart(n)
 	switch result {
+	case Invalid:
+		r.handleInvalidStart(n)
 	case Fenced:
 		r.handleFenced(t, t.token)
 	case OrderExpired:
@@ -300,6 +300,21 @@
 	}
 }
 
+// handleInvalidStart handles that a target did not understand the Start order of a run. Nothing has run,
+// so that it does not count as an attempt of the task; but a job that no target understands cannot end.
+func (r *Router) handleInvalidStart(n *run) {
+	j, k := n.job, &n.job.tasks[n.task]
+	k.invalidStarts++
+	k.avoidedTargets = append(k.avoidedTargets, n.target.ID)
+	if j.ended {
+		return
+	}
+	r.updateTargetHealth(n, EndFailed)
+	if k.invalidStarts >= max(j.spec.MaxAttempts, 1) {
+		r.endJob(j, Verdict{Outcome: Failed, Reason: Expired})
+	}
+}
+
 // stopRun orders a target to stop a run.
 func (r *Router) stopRun(n *run) {
 	if n.state == runRunning {
--- a/internal/router/task.go
+++ b/internal/router/task.go
@@ -12,6 +12,8 @@
 	run      *run
 	lastRun  int // highest run number used so far
 	failures int
+	// invalidStarts counts the Start orders that targets did not understand.
+	invalidStarts int
 	// avoidedTargets are targets where the task has failed, or that were too slow for it.
 	avoidedTargets []string
 	// notBefore and previousRun keep the task waiting while a run that was started before may
