router: a former process's answer to a Start does not set its target's clock

Cause: an answer to a Start that arrives after the next process has listed its runs carries the clock of the former one, which counts from another start. Lease ends were computed from it until the next answer.

TestAnswerOfFormerProcessSetsNoClock failed before (expected 30, actual 900000).

--- a/internal/router/later_process_test.go
+++ b/internal/router/later_process_test.go
@@ -191,3 +191,20 @@
 	assert.Empty(t, stopsOf(effects, "x.0.0.0"), "its job may yet be offered")
 	assert.Len(t, stopsOf(b.advance(b.router.Bounds.OrphanGrace+b.router.Bounds.TickInterval), "x.0.0.0"), 1)
 }
+
+// TestAnswerOfFormerProcessSetsNoClock guards against leases that are computed from the clock of a target's
+// former process, whose answer to a Start arrives after the list of the next one.
+func TestAnswerOfFormerProcessSetsNoClock(t *testing.T) {
+	b := newProcessBed(t)
+	j := twoTaskJob("j")
+	j.Count = 1
+	start := effectsOf[Start](b.step(Submit{Request: 1, Job: j, Budget: 5 * time.Second}))[0]
+	b.now = b.now.Add(time.Millisecond)
+	target := b.router.targets[start.Target.ID]
+	b.step(RenewAnswered{
+		Target: target.ID, Token: target.token, SentAt: b.now, Poll: true, Result: Running, StartedAt: 2, Clock: Reading{Millis: 30, At: b.now},
+	})
+	b.now = b.now.Add(time.Millisecond)
+	b.step(StartAnswered{Target: target.ID, Task: start.Task, Run: start.Run, Result: Running, Clock: Reading{Millis: 900_000, At: b.now}})
+	assert.EqualValues(t, 30, target.lastReading.Millis)
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -195,28 +195,41 @@
 	if t == nil {
 		return
 	}
-	t.updateClock(e.Clock)
 	n := t.runs[e.Task]
 	if n == nil || n.number != e.Run || n.state != runStarting {
 		return
 	}
+	if n.startedFor == t.listedProcess {
+		t.updateClock(e.Clock)
+	}
 	r.recordStart(n, e.Result, e.Took)
+	if e.Result == Running {
+		r.handleStarted(n, e.Clock)
+	} else {
+		r.logFailedStart(n, e)
+		r.handleFailedStart(t, n, e)
+	}
+	r.placementNeeded = true
+}
+
+// handleStarted records that a target has started a run. The run is stopped if nobody waits for it any more.
+func (r *Router) handleStarted(n *run, clock Reading) {
+	n.state, n.confirmedAt, n.startClock = runRunning, r.now, clock.Millis
+	if n.attempts == 1 && n.startedFor == n.target.listedProcess {
+		r.recordLease(n.target, clock, n.attemptAt, n.startLeaseEnd)
+	}
+	r.emitStageDuration(n.job, Started, n.sentAt)
+	if n.job.ended || n.job.tasks[n.task].run != n {
+		r.stopRun(n)
+	}
+}
+
+// handleFailedStart handles a Start order that was rejected or not answered.
+func (r *Router) handleFailedStart(t *target, n *run, e StartAnswered) {
 	if e.Result == NoAnswer {
 		r.lateStarts.add(n, r.now)
 	}
-	if e.Result != Running {
-		r.logFailedStart(n, e)
-	}
 	switch {
-	case e.Result == Running:
-		n.state, n.confirmedAt, n.startClock = runRunning, r.now, e.Clock.Millis
-		if n.attempts == 1 && n.process == t.listedProcess {
-			r.recordLease(t, e.Clock, n.attemptAt, n.startLeaseEnd)
-		}
-		r.emitStageDuration(n.job, Started, n.sentAt)
-		if n.job.ended || n.job.tasks[n.task].run != n {
-			r.stopRun(n)
-		}
 	case e.Result == NoAnswer && r.canRetryStart(n):
 		r.retryStart(n)
 	case e.Result == NoAnswer || n.retried:
@@ -224,7 +237,6 @@
 	default:
 		r.handleRejectedStart(t, n, e.Result)
 	}
-	r.placementNeeded = true
 }
 
 // logFailedStart logs that a Start was rejected or not answered.
