router: acquittals neither replace each other nor crashes

Two hosts that know more than eight acquittals of a task replaced each other's at every message, which renewed the entry for ever; and a wave of acquittals could push confirmed crashes out of a full ledger. Messages were cut by the order of job IDs, so that after the loss of a zone always the same jobs were left out.

Change: what does not fit is applied, but not kept; a full ledger takes no entry for an acquittal alone; the newest changes are sent first. A holder passes an acquittal that it hears on to the host of the job's client. TestAcquittalsAreBounded failed before.

--- a/internal/router/acquittal_test.go
+++ b/internal/router/acquittal_test.go
@@ -173,3 +173,20 @@
 	assert.Empty(t, b.router.crashes.crashesOf("x", 0))
 	assert.Contains(t, b.logged, "acquit "+id)
 }
+
+// TestAcquittalsAreBounded guards against hosts that replace each other's acquittals for ever, and against
+// acquittals that replace crashes.
+func TestAcquittalsAreBounded(t *testing.T) {
+	var l crashLedger
+	now := time.Unix(testEpoch, 0)
+	for i := range maxAcquittals {
+		assert.True(t, l.acquit(Crash{Job: "x", Target: "p", StartedAt: 1, Run: i + 1}, now))
+	}
+	assert.False(t, l.acquit(Crash{Job: "x", Target: "p", StartedAt: 1, Run: 99}, now.Add(time.Second)))
+	assert.Equal(t, now, l.entries[taskKey{"x", 0}].changedAt)
+	for i := range maxCrashEntries {
+		l.add(Crash{Job: "j", Task: i, Target: "p", StartedAt: 1, Run: 1}, now)
+	}
+	assert.False(t, l.acquit(Crash{Job: "y", Target: "p", StartedAt: 1, Run: 1}, now))
+	assert.Nil(t, l.entries[taskKey{"y", 0}])
+}
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -144,18 +144,15 @@
 	}
 }
 
-// acquit removes a crash that was none, and keeps the acquittal. It reports whether the ledger has
-// changed.
+// acquit removes a crash that was none, and keeps the acquittal if there is room. It reports whether
+// the ledger has changed.
 func (l *crashLedger) acquit(c Crash, now time.Time) bool {
+	if l.entries[taskKey{c.Job, c.Task}] == nil && len(l.entries) >= maxCrashEntries {
+		return false // it must not replace crashes
+	}
 	e := l.entryOf(c)
 	c.Confirmed, c.Replaced = false, false
-	if slices.Contains(e.acquittals, c) {
-		return false
-	}
-	e.acquittals, e.changedAt = append(e.acquittals, c), now
-	if len(e.acquittals) > maxAcquittals {
-		e.acquittals = slices.Delete(e.acquittals, 0, 1)
-	}
+	before := len(e.crashes) + len(e.acquittals)
 	e.crashes = slices.DeleteFunc(e.crashes, func(known Crash) bool {
 		isCleared := known.isClearedBy(c)
 		if isCleared {
@@ -163,7 +160,14 @@
 		}
 		return isCleared
 	})
-	return true
+	hasChanged := len(e.crashes)+len(e.acquittals) < before
+	if !slices.Contains(e.acquittals, c) && len(e.acquittals) < maxAcquittals {
+		e.acquittals, hasChanged = append(e.acquittals, c), true
+	}
+	if hasChanged {
+		e.changedAt = now
+	}
+	return hasChanged
 }
 
 // remove removes the entry of a task.
@@ -247,9 +251,12 @@
 	return limitReport(crashes, acquittals)
 }
 
-// recentReport returns the crashes and acquittals of the entries that have changed since a time.
+// recentReport returns the crashes and acquittals of the entries that have changed since a time, those
+// that have changed last first.
 func (l *crashLedger) recentReport(since time.Time) (crashes, acquittals []Crash) {
-	for _, key := range l.keysOf(func(e *crashEntry) bool { return e.changedAt.After(since) }) {
+	keys := l.keysOf(func(e *crashEntry) bool { return e.changedAt.After(since) })
+	slices.SortStableFunc(keys, func(a, b taskKey) int { return l.entries[b].changedAt.Compare(l.entries[a].changedAt) })
+	for _, key := range keys {
 		e := l.entries[key]
 		crashes, acquittals = append(crashes, e.crashes...), append(acquittals, e.acquittals...)
 	}
--- a/internal/router/lost_run.go
+++ b/internal/router/lost_run.go
@@ -45,7 +45,7 @@
 	if !r.crashes.acquit(c, r.now) {
 		return
 	}
-	if j := r.jobs[c.Job]; j != nil && source == "" {
+	if j := r.jobs[c.Job]; j != nil {
 		progress := r.progressFor(j.origin)
 		progress.Acquittals = append(progress.Acquittals, c)
 	}
