router: a client that comes back when told does not start a held task anew

Change: the losses that hold a task are kept for ten minutes, and the answer gives that time. Processes are counted, not records: two holders may have lost runs with one.

--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -50,8 +50,10 @@
 	// do not know of all crashes yet.
 	maxLostRuns = 3
 	// crashRetention is how long the crashes under a task are kept after the last one. It covers
-	// several submissions of a job, each with the longest usual timeout.
+	// several submissions of a job, each with the longest usual timeout. heldRetention is how long they
+	// are kept if they keep the task from starting: a client that comes back then starts as many again.
 	crashRetention = time.Minute
+	heldRetention  = 10 * time.Minute
 	// maxCrashEntries bounds the tasks in the ledger: those that run at 100 targets, twice over.
 	maxCrashEntries = 2000
 	// maxAcquittals bounds the acquittals that are kept of one task.
@@ -205,14 +207,38 @@
 	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.task, b.task))
 }
 
-// prune removes the entries whose last change is longer ago than crashRetention.
+// expiresAt returns when an entry is forgotten.
+func (e *crashEntry) expiresAt() time.Time {
+	if countProcesses(e.crashes, isAnyCrash) >= maxLostRuns {
+		return e.changedAt.Add(heldRetention)
+	}
+	return e.changedAt.Add(crashRetention)
+}
+
+// countProcesses returns the number of lost processes in the crashes that satisfy a condition.
+func countProcesses(crashes []Crash, isCounted func(Crash) bool) int {
+	count := 0
+	for i, c := range crashes {
+		isRepeated := slices.ContainsFunc(crashes[:i], func(other Crash) bool {
+			return other.Target == c.Target && other.StartedAt == c.StartedAt && isCounted(other)
+		})
+		if isCounted(c) && !isRepeated {
+			count++
+		}
+	}
+	return count
+}
+
+func isAnyCrash(Crash) bool { return true }
+
+// prune removes the entries that have expired.
 func (l *crashLedger) prune(now time.Time) {
 	if now.Sub(l.prunedAt) < crashPruneInterval {
 		return
 	}
 	l.prunedAt = now
 	for key, e := range l.entries {
-		if now.Sub(e.changedAt) > crashRetention {
+		if now.After(e.expiresAt()) {
 			l.remove(key)
 		}
 	}
--- a/internal/router/lost_run.go
+++ b/internal/router/lost_run.go
@@ -155,20 +155,11 @@
 		if e == nil || i < len(j.tasks) && j.tasks[i].state == taskDone {
 			continue
 		}
-		confirmed, settled := 0, 0
-		for _, c := range e.crashes {
-			if c.Confirmed {
-				confirmed++
-			}
-			if c.isSettled() {
-				settled++
-			}
-		}
-		if confirmed >= maxCrashes {
+		if countProcesses(e.crashes, func(c Crash) bool { return c.Confirmed }) >= maxCrashes {
 			return Verdict{Outcome: Failed, Reason: Crashes}, true
 		}
-		if settled >= maxLostRuns {
-			v, isOver = Verdict{Outcome: Failed, Reason: Expired, RetryAfter: e.changedAt.Add(crashRetention).Sub(r.now)}, true
+		if countProcesses(e.crashes, Crash.isSettled) >= maxLostRuns {
+			v, isOver = Verdict{Outcome: Failed, Reason: Expired, RetryAfter: e.expiresAt().Sub(r.now)}, true
 		}
 	}
 	return v, isOver
@@ -177,5 +168,5 @@
 // isHeldForCrashes reports whether a task may not start, because too many of its runs were lost with
 // their targets.
 func (r *Router) isHeldForCrashes(j *job, task int) bool {
-	return len(r.crashes.crashesOf(j.spec.ID, task)) >= maxLostRuns
+	return countProcesses(r.crashes.crashesOf(j.spec.ID, task), isAnyCrash) >= maxLostRuns
 }
