router: only a later process within the lease confirms a crash

Change: a crash is confirmed only by an answer of another process to an order sent since the last list, at a listed target, before the leases can have expired. Targets that are back after seconds leave it undecided: their task is bounded to three starts by one line of holders, and its client gets 504.

Tests: the targets of crashTwice and of TestProcessesGiveUpDeadlyTask are back within the lease now; what they expect is unchanged. Copies of crashes are delivered as messages in the tests, since what is emitted outside of a step is lost (TestConfirmationOfEarlierBuildIsNoProof could not fail before in its first half). TestOneProcessIsOneCrash, TestLateAnswerOfOtherProcessIsNoCrash and TestCrashIsSettledByProcessOfLowerStartTime are new.

--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -364,9 +364,6 @@
 	}
 	sm.schedule(delay, func() {
 		if !t.up {
-			h.schedule(delay, func() {
-				answer(router.RenewAnswered{Target: e.Target.ID, Token: e.Token, SentAt: sentAt, Poll: e.Poll, Result: router.NotSent, Unreachable: true})
-			})
 			return
 		}
 		if !t.acceptToken(e.Token) {
--- a/internal/router/acquittal_test.go
+++ b/internal/router/acquittal_test.go
@@ -44,7 +44,7 @@
 	b.run(b.router.Bounds.IdleRenewInterval + time.Second)
 	second := starts[1].Target.ID
 	require.Greater(t, b.router.targets[second].incarnation, int64(bornAt))
-	b.router.mergeCrashes([]Crash{{Job: "x", Target: second, StartedAt: bornAt}}, nil, "")
+	b.hear([]Crash{{Job: "x", Target: second, StartedAt: bornAt}})
 	for _, c := range b.router.crashes.crashesOf("x", 0) {
 		assert.NotEqual(t, second, c.Target)
 	}
@@ -91,8 +91,9 @@
 	for i := range crashes {
 		crashes[i].Run = 0
 	}
-	b.router.mergeCrashes(crashes, nil, "")
+	b.hear(crashes)
 	assert.Empty(t, b.answers)
+	assert.Len(t, b.router.crashes.crashesOf("x", 0), 2)
 
 	origin := newOriginBed(t)
 	effects := origin.step(Submit{Request: 1, Job: longJob("x"), Budget: 9 * time.Second})
@@ -151,7 +152,7 @@
 		b.submit(longJob("x"))
 		b.deadly = ""
 		b.run(silence)
-		b.refuses = true
+		b.restart(b.starts[0].Target.ID)
 		b.run(2 * time.Second)
 		crashes := b.router.crashes.crashesOf("x", 0)
 		require.Len(t, crashes, 1)
@@ -163,18 +164,57 @@
 // process lists its runs again.
 func TestCrashOfProcessThatAnswersIsCleared(t *testing.T) {
 	b := newCrashBed(t, 3)
-	b.deadly, b.refuses = "x.0.0.0", true
 	b.submit(longJob("x"))
-	b.deadly = ""
-	b.run(2 * time.Second)
+	b.run(100 * time.Millisecond)
 	id := b.starts[0].Target.ID
+	b.settle(b.step(RenewAnswered{Target: id, Token: b.router.targets[id].token, SentAt: b.now, Result: Replaced}))
 	require.Equal(t, []string{"crash " + id}, b.logged)
-	b.running[id] = make(map[string]int) // the same process
+	delete(b.running[id], "x.0.0.0")
 	b.run(time.Second)
 	assert.Empty(t, b.router.crashes.crashesOf("x", 0))
 	assert.Contains(t, b.logged, "acquit "+id)
 }
 
+// TestOneProcessIsOneCrash guards against a job that fails because two holders have lost runs with the same
+// process.
+func TestOneProcessIsOneCrash(t *testing.T) {
+	b := newCrashBed(t, 5)
+	b.submit(longJob("x"))
+	crashes := confirmedCrashes("x")
+	crashes[1].Target = crashes[0].Target
+	b.hear(crashes)
+	assert.Len(t, b.router.crashes.crashesOf("x", 0), 2)
+	assert.Empty(t, b.answers)
+}
+
+// TestLateAnswerOfOtherProcessIsNoCrash guards against a crash that is confirmed by an answer to an order that was
+// sent before the process listed its runs.
+func TestLateAnswerOfOtherProcessIsNoCrash(t *testing.T) {
+	b := newCrashBed(t, 3)
+	b.submit(longJob("x"))
+	b.run(100 * time.Millisecond)
+	id := b.starts[0].Target.ID
+	askedAt := b.router.targets[id].runListAt.Add(-time.Millisecond)
+	b.settle(b.step(RenewAnswered{Target: id, Token: b.router.targets[id].token, SentAt: askedAt, Result: Replaced}))
+	assert.Equal(t, []string{"undecided " + id}, b.logged)
+}
+
+// TestCrashIsSettledByProcessOfLowerStartTime guards against a loss that is not recorded because the clock of the
+// target was set back before its next process started.
+func TestCrashIsSettledByProcessOfLowerStartTime(t *testing.T) {
+	b := newCrashBed(t, 3)
+	b.deadly = "x.0.0.0"
+	b.submit(longJob("x"))
+	b.deadly = ""
+	id := b.starts[0].Target.ID
+	b.restart(id)
+	b.startedAt[id] = bornAt - 1000
+	b.run(time.Second)
+	crashes := b.router.crashes.crashesOf("x", 0)
+	require.Len(t, crashes, 1)
+	assert.True(t, crashes[0].Confirmed)
+}
+
 // TestAcquittalsAreBounded guards against hosts that replace each other's acquittals for ever, and against
 // acquittals that replace crashes.
 func TestAcquittalsAreBounded(t *testing.T) {
--- a/internal/router/crash_test.go
+++ b/internal/router/crash_test.go
@@ -15,7 +15,8 @@
 	startedAt map[string]int64          // process of each target
 	running   map[string]map[string]int // run numbers by target and task; no entry for a crashed target
 	deadly    string                    // task that crashes the targets that start it
-	refuses   bool                      // the hosts of crashed targets answer that no process listens
+	back      time.Duration             // after which crashed targets start again; never if 0
+	backAt    map[string]time.Time      // of each target that is to start again
 	renewals  []pendingRenewal
 	starts    []Start
 	answers   []Verdict
@@ -34,7 +35,7 @@
 
 func newCrashBed(t *testing.T, targets int) *crashBed {
 	t.Helper()
-	b := &crashBed{holderBed: newHolderBed(t, targets, ClaimWon), startedAt: make(map[string]int64), running: make(map[string]map[string]int)}
+	b := &crashBed{holderBed: newHolderBed(t, targets, ClaimWon), startedAt: make(map[string]int64), running: make(map[string]map[string]int), backAt: make(map[string]time.Time)}
 	entries := newTargets(targets)
 	for i := range entries {
 		entries[i].StartedAt = bornAt
@@ -62,6 +63,12 @@
 func (b *crashBed) run(d time.Duration) {
 	for end := b.now.Add(d); b.now.Before(end); {
 		b.now = b.now.Add(b.router.Bounds.TickInterval)
+		for _, id := range sortedKeys(b.backAt) {
+			if !b.now.Before(b.backAt[id]) {
+				delete(b.backAt, id)
+				b.restart(id)
+			}
+		}
 		b.settle(b.step(Tick{}))
 		pending := b.renewals
 		b.renewals = nil
@@ -75,7 +82,7 @@
 // crashed.
 func (b *crashBed) answerDue(p pendingRenewal) {
 	delay := p.renew.Wait
-	if b.running[p.renew.Target.ID] == nil && !b.refuses {
+	if b.running[p.renew.Target.ID] == nil {
 		delay = p.renew.Timeout
 	}
 	if b.now.Before(p.sentAt.Add(delay)) {
@@ -101,7 +108,7 @@
 		case Answer:
 			b.answers = append(b.answers, e.Verdict)
 		case Decision:
-			if e.Action == "suspect" || e.Action == "crash" || e.Action == "acquit" {
+			if e.Action == "suspect" || e.Action == "undecided" || e.Action == "crash" || e.Action == "acquit" {
 				b.logged = append(b.logged, e.Action+" "+e.Target)
 			}
 		case Violation:
@@ -122,6 +129,9 @@
 	effects := b.step(StartAnswered{Target: e.Target.ID, Task: e.Task, Run: e.Run, Result: result, Clock: b.clockOf(e.Target.ID)})
 	if e.Task == b.deadly {
 		delete(b.running, e.Target.ID)
+		if b.back > 0 {
+			b.backAt[e.Target.ID] = b.now.Add(b.back)
+		}
 	}
 	return effects
 }
@@ -136,12 +146,16 @@
 			answer.Running = append(answer.Running, RunningTask{Task: task, Run: running[task]})
 		}
 	}
-	if b.running[e.Target.ID] == nil && b.refuses {
-		answer.Result, answer.Unreachable = NotSent, true
-	}
 	return b.step(answer)
 }
 
+// hear delivers crashes that another host has recorded.
+func (b *crashBed) hear(crashes []Crash) {
+	const address = "10.0.0.8:1"
+	b.receiveHeartbeatFrom(address)
+	b.settle(b.step(Receive{From: address, Message: Message{Progress: &Progress{Crashes: crashes}}}))
+}
+
 // clockOf returns a reading of a target's clock, which counts from the start of its process.
 func (b *crashBed) clockOf(id string) Reading {
 	return Reading{Millis: b.now.UnixMilli() - b.startedAt[id], At: b.now}
@@ -163,11 +177,11 @@
 	return list
 }
 
-// crashTwice submits a deadly job and lets it crash two targets, whose hosts answer that no process
-// listens.
+// crashTwice submits a deadly job and lets it crash two targets, which are back before their leases
+// have expired.
 func (b *crashBed) crashTwice(id string) []Start {
 	b.t.Helper()
-	b.deadly, b.refuses = id+".0.0.0", true
+	b.deadly, b.back = id+".0.0.0", 300*time.Millisecond
 	b.submit(longJob(id))
 	b.run(3 * time.Second)
 	starts := b.startsOf(b.deadly)
@@ -201,9 +215,6 @@
 	require.Len(t, b.answers, 1)
 	assert.Equal(t, Failed, b.answers[0].Outcome)
 	assert.Equal(t, Crashes, b.answers[0].Reason)
-	for _, e := range starts {
-		b.restart(e.Target.ID)
-	}
 	b.run(time.Second)
 	assert.Len(t, b.startsOf("x.0.0.0"), 2)
 	first, second := starts[0].Target.ID, starts[1].Target.ID
@@ -214,10 +225,7 @@
 // submission of its job.
 func TestCrashesAreKeptForResubmission(t *testing.T) {
 	b := newCrashBed(t, 5)
-	for _, e := range b.crashTwice("x") {
-		b.restart(e.Target.ID)
-	}
-	b.run(time.Second)
+	b.crashTwice("x")
 	b.run(b.router.jobs["x"].retainedUntil.Sub(b.now) + time.Second)
 	require.Nil(t, b.router.jobs["x"])
 	b.submit(longJob("x"))
@@ -385,7 +393,7 @@
 // not reach targets that answer here.
 func TestOtherHostsSuspicionIsChecked(t *testing.T) {
 	b := newCrashBed(t, 3)
-	b.router.mergeCrashes([]Crash{{Job: "x", Target: "p", StartedAt: bornAt}, {Job: "x", Target: "q", StartedAt: bornAt - 1}}, nil, "")
+	b.hear([]Crash{{Job: "x", Target: "p", StartedAt: bornAt}, {Job: "x", Target: "q", StartedAt: bornAt - 1}})
 	assert.Equal(t, []Crash{{Job: "x", Target: "q", StartedAt: bornAt - 1, Replaced: true}}, b.router.crashes.crashesOf("x", 0))
 }
 
@@ -395,7 +403,7 @@
 	b := newCrashBed(t, 3)
 	b.step(EvacuationsRead{RequestedAt: b.now, Evacuations: Evacuations{Version: 2, Zones: []string{"north"}}})
 	b.submit(longJob("y"))
-	b.router.mergeCrashes(confirmedCrashes("x"), nil, "")
+	b.hear(confirmedCrashes("x"))
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 2)
 	assert.Equal(t, Refused, b.answers[0].Outcome)
@@ -412,7 +420,7 @@
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 1)
 	assert.Equal(t, Expired, b.answers[0].Reason)
-	b.router.mergeCrashes(confirmedCrashes("x"), nil, "")
+	b.hear(confirmedCrashes("x"))
 	b.submit(longJob("x"))
 	require.Len(t, b.answers, 2)
 	assert.Equal(t, Crashes, b.answers[1].Reason)
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -170,9 +170,7 @@
 	// Result is Running if the target answered with its run list. Fenced, Replaced and
 	// NoAnswer say why there is no run list.
 	Result StartResult
-	// Unreachable is true if the target's host has answered that no process listens at the address.
-	Unreachable bool
-	Clock       Reading
+	Clock  Reading
 	// StartedAt is the start time of the target's process in Unix milliseconds, which
 	// identifies the process; 0 means unknown.
 	StartedAt int64
--- a/internal/router/lease.go
+++ b/internal/router/lease.go
@@ -52,17 +52,19 @@
 	}
 }
 
-// recordProcessEnd takes note that the listed process of a target has ended by now: another process
-// answers in its place, or none listens at its address. Its runs have certainly ended with it if
-// their leases cannot have expired before. A process that is only cut off or paused shows neither,
-// and one that is replaced later may have outlived the runs.
-func (r *Router) recordProcessEnd(t *target) {
-	if t.listedProcess > 0 && !r.now.After(t.heldUntil) {
+// recordProcessEnd takes note that the listed process of a target has ended by now, since another one
+// has answered an order that was sent at askedAt. What runs there has ended with it if its leases
+// cannot have expired before. A process that is replaced later may have been cut off and have outlived
+// its runs; that its host refuses connections may be a fault of the network.
+func (r *Router) recordProcessEnd(t *target, askedAt time.Time) {
+	if t.listedProcess > 0 && t.listed && !r.now.After(t.heldUntil) && !askedAt.Before(t.runListAt) {
 		t.endedProcess = t.listedProcess
 	}
 }
 
-// hasEndedUnder reports whether a target's process has certainly ended while a run was under way.
+// hasEndedUnder reports whether a target's process has ended under a run, as far as can be told: it is
+// known to have had the run, and to have ended before the lease. If the run has ended by itself
+// within the lease, only the answer that was lost could tell.
 func (t *target) hasEndedUnder(n *run) bool {
 	return n.process != 0 && n.process == t.endedProcess && n.state == runRunning
 }
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -14,7 +14,7 @@
 			r.logTarget(t, "outdated", "born", e.StartedAt)
 			return // it may be from the former process; the next list will tell
 		}
-		r.handleTargetRestart(t, e.StartedAt)
+		r.handleTargetRestart(t, e.StartedAt, e.SentAt)
 	}
 	t.updateClock(e.Clock)
 	t.listedProcess = e.StartedAt
@@ -115,8 +115,8 @@
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
 		if _, isListed := listed[name]; !isListed && (!n.confirmedAt.IsZero() && e.SentAt.After(n.confirmedAt) && !r.mayStartLate(n) || n.hasLapsedUnstarted(e.Clock)) {
-			if n.process < t.incarnation {
-				r.recordLostRun(n, false)
+			if n.process != t.incarnation {
+				r.recordLostRun(n, true)
 			}
 			r.endRun(n, EndLeaseExpired)
 		}
@@ -305,7 +305,7 @@
 		t.missedRenewals++
 		r.renewTarget(t)
 	case Replaced:
-		r.handleReplacedTarget(t)
+		r.handleReplacedTarget(t, n.attemptAt)
 	case Restarted:
 		t.ejectedUntil = later(t.ejectedUntil, r.now.Add(fullTargetDelay))
 		r.pollTarget(t)
--- a/internal/router/lost_run.go
+++ b/internal/router/lost_run.go
@@ -101,7 +101,7 @@
 		for _, c := range slices.Clone(r.crashes.crashesOf(key.job, key.task)) {
 			switch {
 			case !isUnsettled(c):
-			case c.StartedAt < startedAt:
+			case c.StartedAt < startedAt || list != nil && c.StartedAt != startedAt: // the clock may have been set back
 				c.Replaced = true
 				r.addCrash(c, "", "")
 				r.endJobOfCrashes(r.jobs[c.Job])
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -241,12 +241,12 @@
 	r.emit(Decision{Action: "target", Target: t.ID, Pairs: append([]any{"state", state, "runs", len(t.runs), "age", r.formatAge(t.lastConfirmedAt)}, pairs...)})
 }
 
-// handleTargetRestart resets the state of a target whose run list shows that it has restarted.
+// handleTargetRestart resets the state of a target whose run list, requested at askedAt, shows that it has restarted.
 // The runs are retained until a run list shows which of them exist, since runs that were
 // started after the restart may continue.
-func (r *Router) handleTargetRestart(t *target, startedAt int64) {
+func (r *Router) handleTargetRestart(t *target, startedAt int64, askedAt time.Time) {
 	r.logTarget(t, "restarted", "born", startedAt)
-	r.recordProcessEnd(t)
+	r.recordProcessEnd(t, askedAt)
 	t.earliestReading, t.heldUntil = Reading{}, time.Time{}
 	t.incarnation, t.lastAckedEnd, t.lastReading, t.runListClock = startedAt, 0, Reading{}, 0
 	t.orphanRunNumbers, t.unmatchedEnds = make(map[string]int), make(map[string]End)
@@ -388,11 +388,8 @@
 			return // released with the cell
 		}
 	case Replaced:
-		r.handleReplacedTarget(t)
+		r.handleReplacedTarget(t, e.SentAt)
 	default:
-		if e.Unreachable && e.SentAt.After(t.runListAt) {
-			r.recordProcessEnd(t)
-		}
 		if !r.toleratesMiss(t) {
 			r.handleMissedRenewal(t, e.SentAt)
 		}
@@ -434,10 +431,10 @@
 
 // handleReplacedTarget handles that another process answers at a target's address. The runs are
 // gone with the old process, so they end as if their leases had expired. The target counts as
-// unresponsive until it answers a renewal.
-func (r *Router) handleReplacedTarget(t *target) {
+// unresponsive until it answers a renewal. askedAt is when the order was sent that was answered.
+func (r *Router) handleReplacedTarget(t *target, askedAt time.Time) {
 	r.logTarget(t, "replaced")
-	r.recordProcessEnd(t)
+	r.recordProcessEnd(t, askedAt)
 	for _, name := range sortedKeys(t.runs) {
 		r.recordLostRun(t.runs[name], true)
 		r.endRun(t.runs[name], EndLeaseExpired)
