router: the next holder is told of a lost run at once

Cause: holders report losses to their successors every second, and a holder that gives a cell up counts nothing for the runs at targets that do not answer.

Change: a change of the ledger goes with the next heartbeat, and the runs at silent targets of a cell that is given up are suspected. TestLostRunIsReportedAtOnce and TestSilentTargetOfLostCellIsSuspected failed before.

--- a/internal/router/acquittal_test.go
+++ b/internal/router/acquittal_test.go
@@ -231,3 +231,41 @@
 	assert.False(t, l.acquit(Crash{Job: "y", Target: "p", StartedAt: 1, Run: 1}, now))
 	assert.Nil(t, l.entries[taskKey{"y", 0}])
 }
+
+// TestLostRunIsReportedAtOnce guards against a next holder that does not know of a run which was lost less than
+// a second before its holder.
+func TestLostRunIsReportedAtOnce(t *testing.T) {
+	const address = "10.0.0.9:1"
+	b := newCrashBed(t, 5)
+	b.receiveHeartbeatFrom(address)
+	b.deadly = "x.0.0.0"
+	b.submit(longJob("x"))
+	b.deadly = ""
+	for len(b.router.crashes.crashesOf("x", 0)) == 0 {
+		b.run(b.router.Bounds.TickInterval)
+		b.receiveHeartbeatFrom(address)
+	}
+	b.sent = nil
+	b.run(b.router.Bounds.HeartbeatInterval + b.router.Bounds.TickInterval)
+	reported := 0
+	for _, m := range b.sent {
+		if m.Heartbeat != nil {
+			reported += len(m.Heartbeat.Crashes)
+		}
+	}
+	assert.Equal(t, 1, reported)
+}
+
+// TestSilentTargetOfLostCellIsSuspected guards against a deadly task that is started once more by each holder, since
+// the former one lost its cell before the run had lapsed.
+func TestSilentTargetOfLostCellIsSuspected(t *testing.T) {
+	b := newCrashBed(t, 5)
+	b.deadly = "x.0.0.0"
+	b.submit(longJob("x"))
+	b.run(800 * time.Millisecond)
+	require.Empty(t, b.router.crashes.crashesOf("x", 0))
+	lost := b.router.targets[b.starts[0].Target.ID]
+	require.Positive(t, lost.missedRenewals)
+	b.router.releaseTarget(lost)
+	assert.Len(t, b.router.crashes.crashesOf("x", 0), 1)
+}
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -60,7 +60,7 @@
 	maxAcquittals = 8
 	// crashPruneInterval is the interval at which expired entries are removed.
 	crashPruneInterval = time.Second
-	// crashExportPeriod is how long a changed entry is sent with a holder's learned state. It
+	// crashExportPeriod is how long a changed entry is sent again with a holder's learned state. It
 	// covers three messages.
 	crashExportPeriod = 3 * learnedStateInterval
 	// maxSentCrashes bounds the crashes in one message, of about 50 bytes each.
@@ -81,7 +81,7 @@
 	// unsettled counts the crashes whose process may still answer, by target, and jobEntries the
 	// entries of each job.
 	unsettled, jobEntries map[string]int
-	prunedAt              time.Time
+	changedAt, prunedAt   time.Time
 }
 
 // crashEntry lists the crashes under one task, one for each lost run, and the acquittals: crashes
@@ -119,7 +119,8 @@
 	}
 	i := slices.IndexFunc(e.crashes, c.isSame)
 	if i < 0 {
-		e.crashes, e.changedAt = append(e.crashes, c), now
+		e.crashes = append(e.crashes, c)
+		l.recordChange(e, now)
 		l.countUnsettled(c, 1)
 		return true
 	}
@@ -131,10 +132,13 @@
 	}
 	l.countUnsettled(known, -1)
 	l.countUnsettled(merged, 1)
-	e.crashes[i], e.changedAt = merged, now
+	e.crashes[i] = merged
+	l.recordChange(e, now)
 	return true
 }
 
+func (l *crashLedger) recordChange(e *crashEntry, now time.Time) { e.changedAt, l.changedAt = now, now }
+
 // countUnsettled adds to the number of a target's unsettled crashes if c is one of them.
 func (l *crashLedger) countUnsettled(c Crash, change int) {
 	if c.isSettled() {
@@ -167,7 +171,7 @@
 		e.acquittals, hasChanged = append(e.acquittals, c), true
 	}
 	if hasChanged {
-		e.changedAt = now
+		l.recordChange(e, now)
 	}
 	return hasChanged
 }
--- a/internal/router/lost_run.go
+++ b/internal/router/lost_run.go
@@ -1,9 +1,6 @@
 package router
 
-import (
-	"slices"
-	"time"
-)
+import "slices"
 
 // recordLostRun records that a run was lost with the process of its target, or that this process
 // does not answer. replaced is set if the process is known not to answer any more. That a draining
@@ -137,7 +134,6 @@
 		return
 	}
 	if v, isOver := r.crashVerdict(j); isOver {
-		r.learnedStateSentAt = time.Time{}
 		r.sendHeartbeats()
 		r.endJob(j, v)
 	}
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -101,8 +101,8 @@
 	// TargetCount is the number of targets in that version of the directory, in all
 	// zones.
 	TargetCount int `cbor:"14,keyasint,omitempty"`
-	// Crashes are the recent crashes of targets that a holder knows. They are sent together with
-	// the learned state; hosts of earlier versions neither send nor read them.
+	// Crashes are the recent crashes of targets that a holder knows. They are sent when they change, and
+	// together with the learned state; hosts of earlier versions neither send nor read them.
 	Crashes []Crash `cbor:"17,keyasint,omitempty"`
 	// Acquittals are recent crashes that were none. Hosts of earlier versions neither send nor read
 	// them, here and in offers and progress.
--- a/internal/router/near.go
+++ b/internal/router/near.go
@@ -179,7 +179,11 @@
 		heartbeat.Routes, heartbeat.Speeds = r.exportLearnedState()
 		targetSpeeds, speedSpread = r.profiler.Export(r.now, maxSentTargetSpeeds)
 		interferences = r.separator.Pairs(maxSentInterferences)
-		heartbeat.Crashes, heartbeat.Acquittals = r.crashes.recentReport(r.now.Add(-crashExportPeriod))
+		r.crashesSentAt = r.now.Add(-crashExportPeriod)
+	}
+	if r.holdsAnyCell() && r.crashes.changedAt.After(r.crashesSentAt) {
+		heartbeat.Crashes, heartbeat.Acquittals = r.crashes.recentReport(r.crashesSentAt)
+		r.crashesSentAt = r.now
 	}
 	claims := r.knownClaims()
 	for _, p := range r.sortedPeers() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -96,6 +96,7 @@
 	meanNeeds           map[string]float64 // mean CPU need of a task, in thousandths of a core, by service
 	routeShares         map[string]*share  // by route
 	learnedStateSentAt  time.Time          // when learned state was last sent to peers
+	crashesSentAt       time.Time          // since when changes of crashes are to be sent to peers
 	learnedStateSavedAt time.Time          // when learned state was last saved to the store
 	placementNeeded     bool               // an event may have made it possible to place a task
 	targetUtilization   float64            // utilization of the usable targets
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -264,6 +264,9 @@
 	postponedUntil := r.now.Add(r.Bounds.LeaseDuration + r.Bounds.OrphanGrace + 2*r.Bounds.StopDuration)
 	for _, name := range sortedKeys(t.runs) {
 		n := t.runs[name]
+		if t.missedRenewals > 0 {
+			r.recordLostRun(n, false) // the new holder does not know of the run if the target has crashed
+		}
 		r.postponeTask(n.job, n.task, postponedUntil)
 		delete(t.runs, name)
 		n.job.liveRuns--
