modeler: an answer that shows a job as failed has a cause

The model now counts, per task, the runs that ended as failed and the runs under which the target's process ended, and records a violation when a client is told "failed" for attempts without MaxAttempts such ends, for crashes with less than two such processes, or for a reason that is no failure. Expired jobs are not shown as failed; withdrawn jobs and jobs that fit nowhere need no cause.

--- a/internal/modeler/client.go
+++ b/internal/modeler/client.go
@@ -289,6 +289,7 @@
 // has expired.
 func (c *client) handleFailure(reason router.Reason) {
 	c.failedFor = reason
+	c.checkFailureCause(reason)
 	c.sim.Results.recordFailed(c, reason)
 	if reason == router.Expired && c.sim.Patience > 0 {
 		c.scheduleResend()
--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -101,6 +101,7 @@
 	t.up = false
 	t.incarnation++
 	for _, r := range t.runs {
+		t.sim.lossesOf(r.taskID).crashed++
 		t.sim.recordEnd(t, r)
 	}
 	t.runs = make(map[string]*run)
@@ -235,8 +236,11 @@
 	t.lastEndNumber++
 	t.unackedEnds = append(t.unackedEnds, router.End{Number: t.lastEndNumber, Task: r.taskID, Run: r.number, Reason: reason})
 	t.sim.recordEnd(t, r)
-	if reason == router.EndDone {
+	switch reason {
+	case router.EndDone:
 		t.sim.recordFinishedTask(r.taskID)
+	case router.EndFailed:
+		t.sim.lossesOf(r.taskID).failed++
 	}
 	waiting := t.waitingRenewals
 	t.waitingRenewals = nil
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -114,6 +114,7 @@
 	finishedTasks  map[string]map[string]bool // by job ID and index of the task
 	clients        map[string]*client         // by job ID
 	crashes        map[string]*taskCrashes    // by ID of a deadly task
+	losses         map[string]jobLosses       // by job ID
 	lastIDNumber   int                        // for job IDs and request IDs
 	// Violations lists the violations of invariants, at most 20.
 	Violations []string
@@ -183,6 +184,7 @@
 	sm.finishedTasks = make(map[string]map[string]bool)
 	sm.clients = make(map[string]*client)
 	sm.crashes = make(map[string]*taskCrashes)
+	sm.losses = make(map[string]jobLosses)
 	sm.store = newStore(sm)
 	sm.createDeployment()
 	sm.scheduleArrivals()
