modeler: targets that are cut off, start again behind the cut, or start again together

No fault of the model did either: a target was unreachable only when its zone was cut off from the others, or when its process had ended. CutTargets cuts targets off from all hosts, RebornTargets ends their processes behind that cut as well, RestartTargets ends all of them at nearly the same time.

Measured: TestInvariantsHoldUnderEachFault passes under -race with five cases more, for shares of the targets and for whole zones.

--- a/internal/modeler/fault.go
+++ b/internal/modeler/fault.go
@@ -40,6 +40,7 @@
 		KillHost, PauseHost, RestartHost, PartitionHost, PartitionStore, PartitionZone, StoreUnavailable, StoreSlow, StoreAnswersLost,
 		KillTarget, FailTarget, HangTarget, SlowTarget, DrainTarget, ShrinkTarget, EvacuateZone, KillAllHosts, Burst,
 		SuspendHost, ReplaceLinks, MuteLinks, MuteAll, CutOneWay, CutStores, KillSome, RollHosts, CrashHost, ShiftClock, SlowHost, ThrottleHost, CrashTargets, ResizeTarget, LateOrders, HideTarget, ResetClients,
+		CutTargets, RebornTargets, RestartTargets,
 	}
 }
 
@@ -87,6 +88,8 @@
 				sm.injectTargetFault(f, sm.targets[id])
 			}
 		}
+	case CutTargets, RebornTargets, RestartTargets:
+		sm.injectTargetCut(f)
 	case KillAllHosts:
 		for _, h := range sm.hosts {
 			h.kill()
--- a/internal/modeler/world_test.go
+++ b/internal/modeler/world_test.go
@@ -72,6 +72,11 @@
 		{Kind: HangTarget, TargetShare: 0.15, Duration: 6 * second},
 		{Kind: SlowTarget, TargetShare: 0.15, Duration: 6 * second},
 		{Kind: DrainTarget, TargetShare: 0.1},
+		{Kind: CutTargets, TargetShare: 0.15, Duration: 4 * second},
+		{Kind: CutTargets, Selector: "south", Duration: 4 * second},
+		{Kind: RebornTargets, TargetShare: 0.15, Duration: 4 * second},
+		{Kind: RebornTargets, Selector: "west", Duration: 4 * second},
+		{Kind: RestartTargets, Selector: "zone", Duration: second},
 	}...) {
 		f.At = 4 * second
 		t.Run(fmt.Sprintf("%s-%s", f.Kind, f.Selector), func(t *testing.T) {
