modeler: late orders that outlive the process that they were meant for

On the platform a target that has started again under its ID takes what was meant for its former process: a call names the target only, and the new process has seen no fence token, numbers its ends from 1 and starts its clock anew. In the model a late call was lost with the process. With OutlivingOrders, off by default, the next process executes it: a Start without the comparison of processes, which a host makes before it sends, a Stop, and a renewal with its acknowledged number and the end of its lease. The clock of a target starts with its process then. An order to a target that is down is not sent, so that no process executes it.

A target that executes a Start of another run of a task that it runs (a violation) gives up the room of the former one, so that one violation does not cause others.

--- a/internal/modeler/target.go
+++ b/internal/modeler/target.go
@@ -112,9 +112,14 @@
 	})
 }
 
-// clock returns the reading of the target's monotonic clock, which drifts, in milliseconds.
+// clock returns the reading of the target's monotonic clock, which drifts, in milliseconds. It starts
+// anew with each process if Simulation.OutlivingOrders is set.
 func (t *target) clock() int64 {
-	elapsed := float64(t.sim.now.Sub(time.Unix(epoch, 0))) * (1 + t.drift)
+	start := time.Unix(epoch, 0)
+	if t.sim.OutlivingOrders {
+		start = time.UnixMilli(t.entry.StartedAt)
+	}
+	elapsed := float64(t.sim.now.Sub(start)) * (1 + t.drift)
 	return int64(elapsed) / int64(time.Millisecond)
 }
 
@@ -165,7 +170,7 @@
 	return func() router.StartResult {
 		sim := t.sim
 		switch {
-		case e.Process.StartedAt != 0 && e.Process.StartedAt != t.entry.StartedAt:
+		case e.Process.StartedAt != 0 && e.Process.StartedAt != t.entry.StartedAt && !sim.outlivesProcess():
 			return router.Restarted
 		case !t.acceptToken(e.Token):
 			return router.Fenced
@@ -186,6 +191,9 @@
 			return router.NoCapacity
 		}
 		sim.recordStart(t, h, e)
+		if former := t.runs[e.Task]; former != nil { // the violation is recorded
+			former.ended, t.used = true, t.used.Minus(former.need)
+		}
 		r := &run{taskID: e.Task, number: e.Run, need: need, startedAt: sim.now, duration: sim.runTimeOf(e.Task, t)}
 		t.runs[e.Task] = r
 		t.used = addResources(t.used, need)
@@ -318,15 +326,19 @@
 	})
 }
 
+// outlivesProcess reports whether the call that a target executes may have been sent to an earlier process.
+// The process that a Start is for was compared before it was sent then.
+func (sm *Simulation) outlivesProcess() bool { return sm.executesLate && sm.OutlivingOrders }
+
 // executeLate draws whether a target executes a call some seconds late and does not answer it. The
-// call is lost if the target's process has ended by then.
+// call is lost if the target's process has ended by then, except with OutlivingOrders if there is a later one.
 func (sm *Simulation) executeLate(t *target, delay time.Duration, execute func()) bool {
 	if sm.random.Float64() >= max(sm.LateOrderShare, t.late.share) {
 		return false
 	}
-	incarnation := t.incarnation
+	incarnation, outlives := t.incarnation, sm.OutlivingOrders && t.up
 	sm.schedule(delay+t.drawLateness(), func() {
-		if t.up && t.incarnation == incarnation {
+		if t.up && (t.incarnation == incarnation || outlives) {
 			sm.executesLate = true
 			execute()
 			sm.executesLate = false
--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -67,6 +67,9 @@
 	LateOrderShare float64
 	// LateRenewals makes targets execute that share of the renewals late, too.
 	LateRenewals bool
+	// OutlivingOrders makes targets execute late orders and renewals that were sent to an earlier process of
+	// theirs, as nothing in a call tells the processes apart. The clock of a target starts anew with its process.
+	OutlivingOrders bool
 	// LimitOrders makes hosts limit the orders under way as the driver of a host does, to
 	// Bounds.MaxOrders for at most Bounds.OrderWindow each.
 	LimitOrders bool
