--- a/internal/modeler/world.go
+++ b/internal/modeler/world.go
@@ -67,6 +67,9 @@
 	LateOrderShare float64
 	// LateRenewals makes targets execute that share of the renewals late, too.
 	LateRenewals bool
+	// OutlivingOrders makes targets execute late orders and renewals that were sent to an earlier process of
+	// theirs, as nothing in a call tells the processes apart. The clock of a target starts anew with its process.
+	OutlivingOrders bool
 	// LimitOrders makes hosts limit the orders under way as the driver of a host does, to
 	// Bounds.MaxOrders for at most Bounds.OrderWindow each.
 	LimitOrders bool
@@ -114,6 +117,7 @@
 	finishedTasks  map[string]map[string]bool // by job ID and index of the task
 	clients        map[string]*client         // by job ID
 	crashes        map[string]*taskCrashes    // by ID of a deadly task
+	losses         map[string]jobLosses       // by job ID
 	lastIDNumber   int                        // for job IDs and request IDs
 	// Violations lists the violations of invariants, at most 20.
 	Violations []string
@@ -183,6 +187,7 @@
 	sm.finishedTasks = make(map[string]map[string]bool)
 	sm.clients = make(map[string]*client)
 	sm.crashes = make(map[string]*taskCrashes)
+	sm.losses = make(map[string]jobLosses)
 	sm.store = newStore(sm)
 	sm.createDeployment()
 	sm.scheduleArrivals()
