router: a task waits for a silent target that may still start it

Cause: a target that falls silent after a Start went unanswered lets the run lapse, as far as its holder can tell, and the task starts elsewhere. If the target's process has ended, its next one knows neither token nor lease and may execute that Start for up to 12 s, until it has answered a Stop; the holder hears of that process only after a renewal.

Change: the task waits until the target answers as the same process, the next process has answered a Stop, it obeys a higher token, or no start is as late. Others are not delayed. TestTaskAwaitsTargetThatMayStartItLate is new; one case of TestLateStartIsStoppedAtNextProcess ends its job by itself now, since the task no longer starts elsewhere.

--- a/internal/router/late_start.go
+++ b/internal/router/late_start.go
@@ -7,6 +7,7 @@
 // a Stop of that run, or a higher one of the task. The zero value is empty.
 type lateStarts struct {
 	byTarget map[string]map[string]*lateStart // by the target's ID and the name of the task
+	byTask   map[string]int                   // number of targets, by the name of the task
 	prunedAt time.Time
 }
 
@@ -40,7 +41,7 @@
 		return
 	}
 	if l.byTarget == nil {
-		l.byTarget = make(map[string]map[string]*lateStart)
+		l.byTarget, l.byTask = make(map[string]map[string]*lateStart), make(map[string]int)
 	}
 	id, name := n.target.ID, taskName(n.job.spec.ID, n.task)
 	starts := l.byTarget[id]
@@ -57,11 +58,22 @@
 				first = other
 			}
 		}
-		delete(starts, first)
+		l.remove(id, first)
+	}
+	if starts[name] == nil {
+		l.byTask[name]++
 	}
 	starts[name] = &lateStart{run: n.number, token: n.target.token, process: n.startedFor, until: now.Add(lateStartDuration)}
 }
 
+func (l *lateStarts) remove(target, task string) {
+	delete(l.byTarget[target], task)
+	l.byTask[task]--
+	if l.byTask[task] == 0 {
+		delete(l.byTask, task)
+	}
+}
+
 // get returns the late start of a task at a target that has a process now, or nil if it has none.
 func (l *lateStarts) get(t *target, task string, now time.Time) *lateStart {
 	s := l.byTarget[t.ID][task]
@@ -78,22 +90,24 @@
 	}
 }
 
-// prune removes the late starts that are not executed any more.
-func (l *lateStarts) prune(now time.Time) {
+// prune removes the late starts that are not executed any more. It reports whether there were any.
+func (l *lateStarts) prune(now time.Time) (removed bool) {
 	if len(l.byTarget) == 0 || now.Sub(l.prunedAt) < lateStartPruneInterval {
-		return
+		return false
 	}
 	l.prunedAt = now
 	for id, starts := range l.byTarget {
 		for name, s := range starts {
 			if now.After(s.until) {
-				delete(starts, name)
+				l.remove(id, name)
+				removed = true
 			}
 		}
 		if len(starts) == 0 {
 			delete(l.byTarget, id)
 		}
 	}
+	return removed
 }
 
 // stopLateStarts orders the process that has sent a run list to stop the runs that it may still start, although
@@ -139,6 +153,26 @@
 	return s != nil && s.run == n.number
 }
 
+// awaitsLateStart reports whether a Start of a task may still be executed, unseen, by the next process of a target
+// that does not answer. A target that answers starts the run no more: its process was sent the Start
+// and the lease has expired, it has answered a Stop of the run, or it obeys a higher token.
+func (r *Router) awaitsLateStart(task string) bool {
+	if r.lateStarts.byTask[task] == 0 {
+		return false
+	}
+	for id, starts := range r.lateStarts.byTarget {
+		s := starts[task]
+		if s == nil || r.now.After(s.until) {
+			continue
+		}
+		t := r.targets[id]
+		if t == nil || !t.fenced || t.missedRenewals > 0 || s.process != t.listedProcess && s.token >= t.token {
+			return true
+		}
+	}
+	return false
+}
+
 // moveTo records that a process of the run's target lists it. It may be a later one than its Start was answered by.
 func (n *run) moveTo(process int64, clock Reading) {
 	if process == 0 || n.startedFor == process {
--- a/internal/router/later_process_test.go
+++ b/internal/router/later_process_test.go
@@ -91,6 +91,7 @@
 		"the target falls silent before the answer": func(b *holderBed, start Start) {
 			b.router.expireRuns(b.router.targets[start.Target.ID])
 			b.answerStart(start, NoAnswer)
+			b.step(ClientGone{Request: 1}) // the task waits for this target
 		},
 		"the target is forgotten": func(b *holderBed, start Start) {
 			former := b.router.targets[start.Target.ID]
@@ -208,3 +209,37 @@
 	b.step(StartAnswered{Target: target.ID, Task: start.Task, Run: start.Run, Result: Running, Clock: Reading{Millis: 900_000, At: b.now}})
 	assert.EqualValues(t, 30, target.lastReading.Millis)
 }
+
+// TestTaskAwaitsTargetThatMayStartItLate guards against a task that starts elsewhere while the next process of a silent
+// target may execute a Start of it that was not answered.
+func TestTaskAwaitsTargetThatMayStartItLate(t *testing.T) {
+	for name, release := range map[string]func(b *holderBed, start Start) []Effect{
+		"the same process answers": func(b *holderBed, start Start) []Effect { return b.listProcess(start.Target.ID, 1) },
+		"the next process has answered a stop": func(b *holderBed, start Start) []Effect {
+			stops := stopsOf(b.listProcess(start.Target.ID, 2), start.Task)
+			require.Len(b.t, stops, 1)
+			return b.acknowledge(stops[0])
+		},
+		"no start is as late": func(b *holderBed, start Start) []Effect {
+			b.now = b.now.Add(lateStartDuration + time.Second)
+			b.step(Tick{})
+			other := map[string]string{"p": "q", "q": "p"}[start.Target.ID]
+			return b.listProcess(other, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newProcessBed(t)
+			first, effects := b.startTask("j", NoAnswer)
+			require.Len(t, effectsOf[Start](effects), 1)
+			b.router.jobs["j"].deadline = b.now.Add(time.Minute)
+			target := b.router.targets[first.Target.ID]
+			target.missedRenewals = 1
+			b.router.expireRuns(target)
+			b.answerStart(effectsOf[Start](effects)[0], NoAnswer)
+			assert.Empty(t, effectsOf[Start](b.step(Tick{})))
+			starts := effectsOf[Start](release(b, first))
+			require.Len(t, starts, 1)
+			assert.Greater(t, starts[0].Run, first.Run)
+		})
+	}
+}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -352,6 +352,7 @@
 	r.recordOrder(t, e.Acknowledged)
 	if e.Acknowledged {
 		r.lateStarts.confirmStop(e)
+		r.placementNeeded = r.placementNeeded || r.lateStarts.byTask[e.Task] > 0
 	}
 	n := t.runs[e.Task]
 	if n == nil || n.number != e.Run {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -89,7 +89,7 @@
 	}
 	for i := range j.tasks {
 		k := &j.tasks[i]
-		if k.state != taskWaiting || r.now.Before(k.notBefore) || k.previousRun.isLive() || r.isHeldForCrashes(j, i) {
+		if k.state != taskWaiting || r.now.Before(k.notBefore) || k.previousRun.isLive() || r.isHeldForCrashes(j, i) || r.awaitsLateStart(taskName(j.spec.ID, i)) {
 			continue
 		}
 		t := r.chooseTarget(j, i)
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -451,7 +451,9 @@
 	r.reportUnlistedTargets()
 	r.expirePreviousTargets()
 	r.logOrderAnswers()
-	r.lateStarts.prune(r.now)
+	if r.lateStarts.prune(r.now) {
+		r.placementNeeded = true
+	}
 	for _, id := range sortedKeys(r.targets) {
 		t := r.targets[id]
 		if r.now.After(t.runsExpireAt) && len(t.runs) > 0 {
