--- a/internal/router/later_process_test.go
+++ b/internal/router/later_process_test.go
@@ -220,12 +220,6 @@
 			require.Len(b.t, stops, 1)
 			return b.acknowledge(stops[0])
 		},
-		"no start is as late": func(b *holderBed, start Start) []Effect {
-			b.now = b.now.Add(lateStartDuration + time.Second)
-			b.step(Tick{})
-			other := map[string]string{"p": "q", "q": "p"}[start.Target.ID]
-			return b.listProcess(other, 1)
-		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newProcessBed(t)
@@ -237,9 +231,24 @@
 			b.router.expireRuns(target)
 			b.answerStart(effectsOf[Start](effects)[0], NoAnswer)
 			assert.Empty(t, effectsOf[Start](b.step(Tick{})))
+			assert.True(t, b.router.awaitsLateStart(first.Task))
 			starts := effectsOf[Start](release(b, first))
 			require.Len(t, starts, 1)
 			assert.Greater(t, starts[0].Run, first.Run)
 		})
 	}
 }
+
+// TestLateStartIsForgotten guards against a task that waits for a target that never comes back.
+func TestLateStartIsForgotten(t *testing.T) {
+	b := newProcessBed(t)
+	first, _ := b.startTask("j", NoAnswer)
+	b.router.removeTarget(b.router.targets[first.Target.ID])
+	b.step(Tick{})
+	assert.True(t, b.router.awaitsLateStart(first.Task))
+	b.now = b.now.Add(lateStartDuration + time.Second)
+	b.step(Tick{})
+	assert.False(t, b.router.awaitsLateStart(first.Task))
+	assert.Empty(t, b.router.lateStarts.byTarget)
+	assert.Empty(t, b.router.lateStarts.byTask)
+}
