--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -14,10 +14,10 @@
 	// milliseconds.
 	Target    string `cbor:"3,keyasint"`
 	StartedAt int64  `cbor:"4,keyasint"`
-	// Confirmed is true if the process has certainly ended while the run was under way there; see
-	// Router.recordProcessEnd. Otherwise it may have been paused or cut off, and have outlived the
-	// run. Hosts of earlier versions, which name no run, also confirm the end of a process at any
-	// later time.
+	// Confirmed is true if another process has answered before the lease of the run can have expired;
+	// see Router.recordProcessEnd. Otherwise the process may have been paused or cut off, and have
+	// outlived the run. Hosts of earlier versions, which name no run, also confirm the end of a
+	// process at any later time.
 	Confirmed bool `cbor:"5,keyasint,omitempty"`
 	// Run is the number of the run; 0 from hosts of earlier versions.
 	Run int `cbor:"6,keyasint,omitempty"`
@@ -43,9 +43,9 @@
 
 const (
 	// maxCrashes is the number of confirmed crashes under a task at which its job is given up. The
-	// platform allows that from two crashes on.
+	// platform allows that from two crashes on; see docs/QUESTIONS.md.
 	maxCrashes = 2
-	// maxLostRuns is the number of crashes under a task, confirmed or not, at which it is not started
+	// maxLostRuns is the number of processes lost under a task, confirmed or not, at which it is not started
 	// again. The platform allows two more starts after three crashes; these are left to holders that
 	// do not know of all crashes yet.
 	maxLostRuns = 3
--- a/internal/router/message.go
+++ b/internal/router/message.go
@@ -257,7 +257,7 @@
 	// NoHolder means that no reachable host holds the zone's cell, or that the holder
 	// lost contact with the job's host.
 	NoHolder Reason = "unheld"
-	// Crashes means that targets have certainly crashed under one of the job's tasks, so that it is
+	// Crashes means that processes of targets have ended under one of the job's tasks, so that it is
 	// not started again.
 	Crashes Reason = "crashed"
 	// suspectedCrashes is the reason that hosts of earlier versions give also for targets that may
--- a/internal/router/target.go
+++ b/internal/router/target.go
@@ -20,10 +20,11 @@
 	lastReading     Reading   // newest reading of the target's clock
 	runsExpireAt    time.Time // when all leases there have expired unless an order extends them
 	lastAckedEnd    int       // number of the newest end that was handled; renewals acknowledge it
-	// incarnation is the start time of the target's process in Unix milliseconds, which
-	// identifies the process; 0 if it is not known.
+	// incarnation is the newest known start time of a process of the target in Unix milliseconds,
+	// which identifies the process, from its run lists and earlier entries; 0 if none is known.
 	incarnation int64
-	// listedProcess is the start time of the process that sent the newest run list; 0 if it is not known.
+	// listedProcess is the start time of the process that sent the newest run list; 0 if it is not known. It
+	// alone tells which process answers.
 	listedProcess int64
 	// endedProcess is the start time of a process that has ended before its leases can have expired; see
 	// recordProcessEnd. heldUntil is until when they last at least, and earliestReading the newest reading
@@ -216,8 +217,7 @@
 		r.logTarget(t, "draining")
 	}
 	restarted := entry.StartedAt > t.StartedAt && t.StartedAt > 0 && entry.StartedAt > t.incarnation
-	// This keeps the old start time: handleTargetRestart sets the new one when a run list of the
-	// restarted target arrives.
+	// The entry says that a process has started, and the next run list which one answers.
 	t.incarnation = max(t.incarnation, t.StartedAt)
 	if isNew || entry.ColdLeft == 0 || t.ColdLeft == 0 {
 		t.coldUntil = r.now.Add(entry.ColdLeft)
